Serve requests end to end through entries and sidecars

Cause: nothing existed; every later decision needs a whole path to live in and to be measured on.

Change: a daemon with entries, sidecars and a development deployment; an operators' command line; inventories of two deployments; leases, budgets, queueing, routing and configuration in their first form; small fakes of the platform, the engines and the ledger.

--- /dev/null
+++ b/cmd/radishspoked/dev.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"radishspoke"
+	"radishspoke/examples"
+	"radishspoke/internal/assembler"
+	"radishspoke/state/parser"
+	"radishspoke/transport"
+	"radishspoke/transport/ticker"
+)
+
+func devCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "dev",
+		Usage: "run a whole deployment on the loopback address, with fake targets",
+		Description: "A fake platform, the fake engines and services of an inventory, their sidecars and two\n" +
+			"entries run in one process. It prints requests that work and goes on until interrupted.\n\n" +
+			"Examples:\n   radishspoked dev\n   radishspoked dev --inventory examples/thunder-bay.ini --log debug",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "inventory", Aliases: []string{"i"}, Usage: "run the inventory in `FILE` in place of Nour Festons'"},
+			&cli.StringFlag{Name: "log", Value: "warn", Usage: "least `LEVEL` of log lines"},
+			&cli.IntFlag{Name: "entries", Value: 2, Usage: "`NUMBER` of entries"},
+		},
+		Action: runDev,
+	}
+}
+
+func runDev(ctx context.Context, c *cli.Command) error {
+	name, data, err := devInventory(c.String("inventory"))
+	if err != nil {
+		return err
+	}
+	v, err := parser.Inventory(name, data)
+	if err != nil {
+		return fmt.Errorf("inventory has faults:\n%w", err)
+	}
+	env := assembler.Environment{Network: &transport.TCP{}, Clock: ticker.BootClock{}, Log: logger(c.String("log")), Seed: rand.Uint64()}
+	d, err := assembler.NewDev(ctx, assembler.DevSettings{Inventory: data, Entries: c.Int("entries")}, env)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	fmt.Print(devGuide(d, &v, c.Int("entries")))
+	<-ctx.Done()
+	return nil
+}
+
+func devInventory(path string) (name string, data []byte, err error) {
+	if path == "" {
+		name = "nour-festons.ini"
+		data, err = examples.Files.ReadFile(name)
+	} else {
+		name = path
+		data, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return "", nil, fmt.Errorf("read inventory: %w", err)
+	}
+	return name, data, nil
+}
+
+// devGuide returns requests that work against a development deployment.
+func devGuide(d *assembler.Dev, v *radishspoke.Inventory, entries int) string {
+	var b strings.Builder
+	team := v.Teams[0].Name
+	key := d.Secrets[team]
+	fmt.Fprintf(&b, "radishspoke %s: %d targets, %d entries, platform at %s\n", radishspoke.Version, len(v.Targets), entries, assembler.DevPlatform())
+	for i := range entries {
+		fmt.Fprintf(&b, "entry-%d: callers %s, operators %s\n", i+1, assembler.DevCallers(i), assembler.DevOperators(i))
+	}
+	b.WriteString("\nKeys:\n")
+	for _, t := range d.Teams() {
+		fmt.Fprintf(&b, "  %-14s %s\n", t, d.Secrets[t])
+	}
+	b.WriteString("\nTry:\n")
+	model := v.Models[len(v.Models)-1].Name
+	fmt.Fprintf(&b, "  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \\\n"+
+		"    -d '{\"model\":%q,\"stream\":true,\"max_tokens\":24,\"messages\":[{\"role\":\"user\",\"content\":\"Is the hall free on Friday?\"}]}'\n",
+		assembler.DevCallers(0), key, model)
+	for _, r := range v.Routes {
+		if r.Kind != radishspoke.ServiceRoute {
+			continue
+		}
+		auth := ""
+		if !r.Open {
+			auth = fmt.Sprintf(" -H 'Authorization: Bearer %s'", key)
+		}
+		if r.Idempotent {
+			fmt.Fprintf(&b, "  curl http://%s%s/item-1%s\n", assembler.DevCallers(0), r.Path, auth)
+		} else {
+			fmt.Fprintf(&b, "  curl http://%s%s%s -H 'Idempotency-Key: order-1' -d '{\"item\":\"item-1\",\"count\":2}'\n", assembler.DevCallers(0), r.Path, auth)
+		}
+	}
+	fmt.Fprintf(&b, "  go run ./cmd/radishspoke --platform %s status\n", assembler.DevPlatform())
+	return b.String()
+}
--- /dev/null
+++ b/coordination/authenticator/doc.go
@@ -0,0 +1,2 @@
+// Package authenticator checks callers' keys against the configuration.
+package authenticator
--- /dev/null
+++ b/coordination/executor/executor.go
@@ -0,0 +1,370 @@
+package executor
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"radishspoke"
+	"radishspoke/protocol/encoder"
+	"radishspoke/protocol/wire"
+)
+
+// The methods that an Executor serves.
+const (
+	ExecuteMethod = "execute"
+	CancelMethod  = "cancel"
+)
+
+// Settings of an Executor.
+type Settings struct {
+	// Target is the name of the target.
+	Target string
+
+	// Incarnation tells this process from earlier ones at the same address.
+	// It must not be zero.
+	Incarnation uint64
+
+	// AnswerKeep is how long a finished answer is held; 60 s if zero.
+	AnswerKeep time.Duration
+
+	// RequestKeep is how long an id is remembered; 15 min if zero.
+	RequestKeep time.Duration
+
+	// DetachGrace is how long an idempotent request runs on without a
+	// reader; 10 s if zero.
+	DetachGrace time.Duration
+
+	// MaxRecords is the most ids remembered; new requests are refused when
+	// there are more. 131,072 if zero.
+	MaxRecords int
+}
+
+const (
+	defaultAnswerKeep  = time.Minute
+	defaultRequestKeep = 15 * time.Minute
+	defaultDetachGrace = 10 * time.Second
+	defaultMaxRecords  = 1 << 17
+	sweepInterval      = time.Second
+)
+
+func (s *Settings) fill() {
+	if s.AnswerKeep == 0 {
+		s.AnswerKeep = defaultAnswerKeep
+	}
+	if s.RequestKeep == 0 {
+		s.RequestKeep = defaultRequestKeep
+	}
+	if s.DetachGrace == 0 {
+		s.DetachGrace = defaultDetachGrace
+	}
+	if s.MaxRecords == 0 {
+		s.MaxRecords = defaultMaxRecords
+	}
+}
+
+// Meter takes the usage of each answer that ended whole, once.
+type Meter func(id, team string, u radishspoke.Usage)
+
+// Report makes the target's load report, which goes out with every answer's
+// head.
+type Report func() *wire.Load
+
+// Executor runs requests at one target. Make it with New.
+type Executor struct {
+	settings Settings
+	engine   radishspoke.Engine
+	service  radishspoke.Service
+	meter    Meter
+	report   Report
+	log      *slog.Logger
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	mu       sync.Mutex
+	records  map[string]*record
+	draining bool
+	running  int
+	idle     chan struct{} // closed when draining and nothing runs
+}
+
+// New returns an Executor for an engine or a service; the other is nil. It
+// panics if the incarnation is zero.
+func New(s Settings, e radishspoke.Engine, v radishspoke.Service, m Meter, r Report, t radishspoke.Timers, log *slog.Logger) *Executor {
+	if s.Incarnation == 0 {
+		panic("executor: zero incarnation")
+	}
+	s.fill()
+	ctx, cancel := context.WithCancel(context.Background())
+	x := &Executor{
+		settings: s, engine: e, service: v, meter: m, report: r, log: log,
+		ctx: ctx, cancel: cancel, records: map[string]*record{}, idle: make(chan struct{}),
+	}
+	ticks, stop := t.Every(sweepInterval)
+	x.group.Add(1)
+	go func() {
+		defer x.group.Done()
+		defer stop()
+		x.sweepLoop(ticks)
+	}()
+	return x
+}
+
+// Stop cancels every request.
+func (x *Executor) Stop() { x.cancel() }
+
+// Close cancels every request and waits for its goroutines. The sessions that
+// serve the executor must have been closed.
+func (x *Executor) Close() {
+	x.cancel()
+	x.group.Wait()
+}
+
+// Methods returns the handlers of the executor's methods.
+func (x *Executor) Methods() encoder.Methods {
+	return encoder.Methods{
+		ExecuteMethod: x.execute,
+		CancelMethod:  encoder.Unary(x.cancelRequest),
+	}
+}
+
+// Running returns the number of requests at the target, and whether new ones
+// are refused.
+func (x *Executor) Running() (n int, draining bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.running, x.draining
+}
+
+// Drain refuses new requests, or takes them again.
+func (x *Executor) Drain(on bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.draining = on
+	x.signalIdle()
+}
+
+// Idle returns a channel that is closed once the executor drains and nothing
+// runs any more.
+func (x *Executor) Idle() <-chan struct{} {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.idle
+}
+
+func (x *Executor) signalIdle() {
+	select {
+	case <-x.idle:
+		if !x.draining {
+			x.idle = make(chan struct{})
+		}
+	default:
+		if x.draining && x.running == 0 {
+			close(x.idle)
+		}
+	}
+}
+
+// execute serves one Execute: it finds or makes the record and sends its
+// answer.
+func (x *Executor) execute(_ context.Context, s *encoder.Stream) error {
+	q := &wire.Execute{}
+	if err := s.Read(q); err != nil {
+		return fmt.Errorf("read execute: %w", err)
+	}
+	r, upload, failure := x.admit(q)
+	if failure == nil {
+		failure = r.attach(q.Attempt, q.Offset)
+	}
+	if failure != nil {
+		if upload != nil {
+			upload.abort(errNoReader)
+		}
+		return s.Write(&wire.Frame{RequestId: q.RequestId, Attempt: q.Attempt, Offset: q.Offset, Failure: failure})
+	}
+	defer func() { r.detach(time.Now()) }()
+	c := &cursor{record: r, attempt: q.Attempt, position: q.Offset}
+	x.group.Add(1)
+	go func() {
+		defer x.group.Done()
+		x.receive(s, r, c, upload)
+	}()
+	return x.send(s, c)
+}
+
+// send writes frames until the answer ends or the reader leaves.
+func (x *Executor) send(s *encoder.Stream, c *cursor) error {
+	for {
+		f := c.next()
+		if f == nil {
+			return nil
+		}
+		if err := s.Write(f); err != nil {
+			return fmt.Errorf("send answer of %s: %w", f.RequestId, err)
+		}
+		if f.End != nil || f.Failure != nil {
+			return nil
+		}
+	}
+}
+
+// receive reads what the entry sends after its Execute: the request's body,
+// or word that nobody waits for the answer.
+func (x *Executor) receive(s *encoder.Stream, r *record, c *cursor, upload *bodyPipe) {
+	defer c.leave()
+	u := &wire.Upload{}
+	for {
+		u.Reset()
+		if err := s.Read(u); err != nil {
+			if upload != nil {
+				upload.abort(err)
+			}
+			return
+		}
+		if u.Aborted {
+			x.stop(r, "cancelled by the caller")
+			if upload != nil {
+				upload.abort(errNoReader)
+			}
+			return
+		}
+		if upload == nil {
+			continue
+		}
+		if upload.write(u.Data) != nil {
+			continue
+		}
+		if u.Last {
+			upload.finish()
+		}
+	}
+}
+
+// admit returns the record of a request, new or known, or why there is none.
+func (x *Executor) admit(q *wire.Execute) (*record, *bodyPipe, *wire.Failure) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if r, ok := x.records[q.RequestId]; ok {
+		return r, nil, nil
+	}
+	restarted := q.Incarnation != 0 && q.Incarnation != x.settings.Incarnation
+	if q.Attach && restarted {
+		return nil, nil, &wire.Failure{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: "the sidecar was restarted", Elsewhere: true}
+	}
+	if reason := x.refusal(q, restarted); reason != "" {
+		x.refuse(q.RequestId, reason)
+		return nil, nil, &wire.Failure{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: reason, Elsewhere: true}
+	}
+	r := newRecord(q.RequestId, q.Idempotent, q.Generation != nil, q.Offset)
+	x.records[q.RequestId] = r
+	x.running++
+	ctx, cancel := context.WithTimeout(x.ctx, time.Duration(q.RemainingMs)*time.Millisecond)
+	r.cancel = cancel
+	var upload *bodyPipe
+	if q.Call != nil {
+		upload = newBodyPipe()
+	}
+	x.group.Add(1)
+	go func() {
+		defer x.group.Done()
+		defer cancel()
+		x.run(ctx, r, q, upload)
+	}()
+	return r, upload, nil
+}
+
+// refusal tells why a request that is not known is not started, or "".
+func (x *Executor) refusal(q *wire.Execute, restarted bool) string {
+	switch {
+	case q.Attach:
+		return "the request never came"
+	case restarted:
+		return "the sidecar was restarted"
+	case x.draining:
+		return "the target is draining"
+	case len(x.records) >= x.settings.MaxRecords:
+		return "the sidecar remembers too many requests"
+	case q.RemainingMs <= 0:
+		return "the deadline has passed"
+	case q.Generation != nil && x.engine == nil, q.Call != nil && x.service == nil, q.Generation == nil && q.Call == nil:
+		return "the target is of another kind"
+	}
+	return ""
+}
+
+// refuse leaves a record that keeps the id from ever running here.
+func (x *Executor) refuse(id, reason string) {
+	if len(x.records) >= x.settings.MaxRecords {
+		return
+	}
+	r := newRecord(id, false, true, 0)
+	r.failure = &wire.Failure{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: reason, Elsewhere: true}
+	r.finished = time.Now()
+	x.records[id] = r
+}
+
+func (x *Executor) cancelRequest(_ context.Context, q *wire.Cancel) (*wire.Ack, error) {
+	x.mu.Lock()
+	r, ok := x.records[q.RequestId]
+	if !ok {
+		x.refuse(q.RequestId, "cancelled before it came")
+	}
+	x.mu.Unlock()
+	if ok {
+		x.stop(r, "cancelled by the caller")
+	}
+	return &wire.Ack{}, nil
+}
+
+// stop ends an idempotent request that nobody waits for. Others run on, so
+// that their effect is whole.
+func (x *Executor) stop(r *record, why string) {
+	if !r.idempotent {
+		return
+	}
+	if r.finish(nil, &wire.Failure{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: why}, time.Now()) {
+		r.cancel()
+		if x.engine != nil {
+			_ = x.engine.Cancel(x.ctx, r.id)
+		}
+	}
+}
+
+func (x *Executor) sweepLoop(ticks <-chan radishspoke.Tick) {
+	for {
+		select {
+		case <-x.ctx.Done():
+			return
+		case <-ticks:
+			x.sweep(time.Now())
+		}
+	}
+}
+
+// sweep lets go of old answers and ids, and stops requests that have had no
+// reader for the grace.
+func (x *Executor) sweep(now time.Time) {
+	x.mu.Lock()
+	var abandoned []*record
+	for id, r := range x.records {
+		r.mu.Lock()
+		switch {
+		case r.done() && now.Sub(r.finished) > x.settings.RequestKeep:
+			delete(x.records, id)
+		case r.done() && r.attached == 0 && now.Sub(r.finished) > x.settings.AnswerKeep && r.length() > 0:
+			r.base = r.length()
+			r.tokens, r.data = nil, nil
+		case !r.done() && r.attached == 0 && r.idempotent && !r.detached.IsZero() && now.Sub(r.detached) > x.settings.DetachGrace:
+			abandoned = append(abandoned, r)
+		}
+		r.mu.Unlock()
+	}
+	x.mu.Unlock()
+	for _, r := range abandoned {
+		x.stop(r, "no entry fetched the answer")
+	}
+}
--- /dev/null
+++ b/internal/assembler/doc.go
@@ -0,0 +1,2 @@
+// Package assembler builds the daemon's processes out of their parts.
+package assembler
--- /dev/null
+++ b/internal/fake/enginehttp.go
@@ -0,0 +1,135 @@
+package fake
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"radishspoke"
+)
+
+// GenerateBody asks an engine for an answer.
+type GenerateBody struct {
+	ID        string `json:"id"`
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter,omitempty"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Priority  int    `json:"priority,omitempty"`
+	Produced  int    `json:"produced,omitempty"`
+}
+
+// GenerateLine is one line of an engine's answer.
+type GenerateLine struct {
+	Tokens []string `json:"tokens,omitempty"`
+	End    bool     `json:"end,omitempty"`
+	Reason string   `json:"reason,omitempty"`
+	Prompt int      `json:"prompt,omitempty"`
+	Cached int      `json:"cached,omitempty"`
+}
+
+// Handler serves the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/generate", e.postGenerate).Methods(http.MethodPost)
+	r.HandleFunc("/v1/generate/{id}", e.deleteGenerate).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Load()) })
+	r.HandleFunc("/v1/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.State()) })
+	r.HandleFunc("/v1/orders", e.postOrder).Methods(http.MethodPost)
+	r.HandleFunc("/v1/cache", e.getCache).Methods(http.MethodGet)
+	r.HandleFunc("/v1/kv", e.postKV).Methods(http.MethodPost)
+	return r
+}
+
+func (e *Engine) postGenerate(w http.ResponseWriter, r *http.Request) {
+	var b GenerateBody
+	if !decodeBody(w, r, &b) {
+		return
+	}
+	g := radishspoke.Generation{Model: b.Model, Adapter: b.Adapter, Prompt: b.Prompt, MaxTokens: b.MaxTokens, Priority: b.Priority}
+	q, err := e.start(b.ID, g, b.Produced)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	defer q.leave()
+	e.send(w, r, q, b.Produced)
+}
+
+// send writes a line for each group of tokens that is ready.
+func (e *Engine) send(w http.ResponseWriter, r *http.Request, q *sequence, sent int) {
+	f := w.(http.Flusher)
+	enc := json.NewEncoder(w)
+	w.WriteHeader(http.StatusOK)
+	f.Flush()
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case t, ok := <-q.out:
+			if !ok {
+				if sent == q.length {
+					_ = enc.Encode(GenerateLine{End: true, Reason: q.reason, Prompt: promptTokens(q.prompt), Cached: q.cached})
+					return
+				}
+				panic(http.ErrAbortHandler)
+			}
+			tokens := append(make([]string, 0, 1+len(q.out)), t)
+			for range len(q.out) {
+				if t, ok := <-q.out; ok {
+					tokens = append(tokens, t)
+				}
+			}
+			sent += len(tokens)
+			if err := enc.Encode(GenerateLine{Tokens: tokens}); err != nil {
+				return
+			}
+			f.Flush()
+		}
+	}
+}
+
+func (e *Engine) deleteGenerate(w http.ResponseWriter, r *http.Request) {
+	e.cancel(mux.Vars(r)["id"])
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request) {
+	var o radishspoke.Order
+	if !decodeBody(w, r, &o) {
+		return
+	}
+	err := e.Apply(r.Context(), o)
+	switch {
+	case errors.Is(err, radishspoke.ErrStaleOrder):
+		http.Error(w, err.Error(), http.StatusPreconditionFailed)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (e *Engine) getCache(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, e.cache.events)
+}
+
+// KVBody names blocks that are imported from another engine.
+type KVBody struct {
+	Blocks []uint64 `json:"blocks"`
+}
+
+func (e *Engine) postKV(w http.ResponseWriter, r *http.Request) {
+	var b KVBody
+	if !decodeBody(w, r, &b) {
+		return
+	}
+	e.mu.Lock()
+	e.cache.add(b.Blocks)
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/fake/platform.go
@@ -0,0 +1,327 @@
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"radishspoke"
+)
+
+// Faults are the platform's failures that can be switched on.
+type Faults struct {
+	// Outage makes every call fail without effect.
+	Outage bool `json:"outage"`
+
+	// SlowMS delays each call.
+	SlowMS int `json:"slow_ms"`
+
+	// LoseAnswers is how many of the next writes take effect and then give
+	// no answer.
+	LoseAnswers int `json:"lose_answers"`
+}
+
+// Counts are the calls that the platform has had.
+type Counts struct {
+	Reads, Writes, Lists, Conflicts int
+}
+
+// PlatformOrder is an order for targets in a zone.
+type PlatformOrder struct {
+	ID    string `json:"id"`
+	Zone  string `json:"zone"`
+	Count int    `json:"count"`
+	Epoch int64  `json:"epoch"`
+}
+
+// UsageReport is one report of one window.
+type UsageReport struct {
+	Window   string          `json:"window"`
+	Reporter string          `json:"reporter"`
+	Figures  json.RawMessage `json:"figures"`
+}
+
+// Platform is a stand-in for the platform's services. Make it with
+// NewPlatform.
+type Platform struct {
+	// HostLag is how late the list of hosts shows a change.
+	HostLag time.Duration
+
+	mu      sync.Mutex
+	rows    map[string]row
+	objects map[string][]byte
+	members []memberChange
+	faults  Faults
+	counts  Counts
+	orders  []PlatformOrder
+	usage   []UsageReport
+	commits []CommitRecord
+}
+
+// CommitRecord is one transaction that took effect.
+type CommitRecord struct {
+	At     time.Time
+	Writes []radishspoke.Write
+}
+
+type row struct {
+	value   []byte
+	version int64
+}
+
+type memberChange struct {
+	at     time.Time
+	name   string
+	member *radishspoke.Member // nil when withdrawn
+}
+
+// NewPlatform returns an empty platform.
+func NewPlatform() *Platform {
+	return &Platform{rows: map[string]row{}, objects: map[string][]byte{}}
+}
+
+// SetFaults replaces the faults.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// Counts returns the calls so far.
+func (p *Platform) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// Commits returns the transactions that took effect, in order.
+func (p *Platform) Commits() []CommitRecord {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]CommitRecord(nil), p.commits...)
+}
+
+// Usage returns the usage reports so far.
+func (p *Platform) Usage() []UsageReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]UsageReport(nil), p.usage...)
+}
+
+// Handler serves the platform's HTTP interface.
+func (p *Platform) Handler() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	v := r.PathPrefix("/v1").Subrouter()
+	v.HandleFunc("/rows", p.getRows).Methods(http.MethodGet)
+	v.HandleFunc("/transactions", p.postTransaction).Methods(http.MethodPost)
+	v.HandleFunc("/objects/{name}", p.getObject).Methods(http.MethodGet)
+	v.HandleFunc("/objects/{name}", p.putObject).Methods(http.MethodPut)
+	v.HandleFunc("/members", p.getMembers).Methods(http.MethodGet)
+	v.HandleFunc("/members", p.putMember).Methods(http.MethodPut)
+	v.HandleFunc("/members/{name}", p.deleteMember).Methods(http.MethodDelete)
+	v.HandleFunc("/orders", p.postOrder).Methods(http.MethodPost)
+	v.HandleFunc("/usage", p.postUsage).Methods(http.MethodPost)
+	v.Use(p.injectFaults)
+	r.HandleFunc("/faults", p.putFaults).Methods(http.MethodPut)
+	return r
+}
+
+func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !decodeBody(w, r, &f) {
+		return
+	}
+	p.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// injectFaults delays calls, fails them in an outage, and loses the answers
+// of writes.
+func (p *Platform) injectFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		f := p.faults
+		lose := f.LoseAnswers > 0 && r.Method != http.MethodGet
+		if lose && !f.Outage {
+			p.faults.LoseAnswers--
+		}
+		p.mu.Unlock()
+		if f.SlowMS > 0 {
+			time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
+		}
+		if f.Outage {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		if lose {
+			next.ServeHTTP(discard{header: http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d discard) WriteHeader(int)             {}
+
+func (p *Platform) getRows(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := r.URL.Query()
+	if q.Has("key") {
+		p.counts.Reads++
+		key := q.Get("key")
+		e, ok := p.rows[key]
+		if !ok {
+			http.Error(w, "no such row", http.StatusNotFound)
+			return
+		}
+		writeJSON(w, radishspoke.Row{Key: key, Value: e.value, Version: e.version})
+		return
+	}
+	p.counts.Lists++
+	out := []radishspoke.Row{}
+	for k, e := range p.rows {
+		if strings.HasPrefix(k, q.Get("prefix")) {
+			out = append(out, radishspoke.Row{Key: k, Value: e.value, Version: e.version})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	writeJSON(w, out)
+}
+
+func (p *Platform) postTransaction(w http.ResponseWriter, r *http.Request) {
+	var writes []radishspoke.Write
+	if !decodeBody(w, r, &writes) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Writes++
+	for _, e := range writes {
+		if p.rows[e.Key].version != e.Version {
+			p.counts.Conflicts++
+			http.Error(w, "row version differs: "+e.Key, http.StatusConflict)
+			return
+		}
+	}
+	for _, e := range writes {
+		p.rows[e.Key] = row{value: e.Value, version: e.Version + 1}
+	}
+	p.commits = append(p.commits, CommitRecord{At: time.Now(), Writes: writes})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	b, ok := p.objects[mux.Vars(r)["name"]]
+	p.counts.Reads++
+	p.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(b)
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.objects[mux.Vars(r)["name"]] = b
+	p.counts.Writes++
+	p.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// getMembers shows the list as it was HostLag ago.
+func (p *Platform) getMembers(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Reads++
+	limit := time.Now().Add(-p.HostLag)
+	seen := map[string]radishspoke.Member{}
+	for _, c := range p.members {
+		if c.at.After(limit) {
+			break
+		}
+		if c.member == nil {
+			delete(seen, c.name)
+			continue
+		}
+		seen[c.name] = *c.member
+	}
+	out := make([]radishspoke.Member, 0, len(seen))
+	for _, m := range seen {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	writeJSON(w, out)
+}
+
+func (p *Platform) putMember(w http.ResponseWriter, r *http.Request) {
+	var m radishspoke.Member
+	if !decodeBody(w, r, &m) {
+		return
+	}
+	p.mu.Lock()
+	p.members = append(p.members, memberChange{at: time.Now(), name: m.Name, member: &m})
+	p.counts.Writes++
+	p.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) deleteMember(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.members = append(p.members, memberChange{at: time.Now(), name: mux.Vars(r)["name"]})
+	p.counts.Writes++
+	p.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) postOrder(w http.ResponseWriter, r *http.Request) {
+	var o PlatformOrder
+	if !decodeBody(w, r, &o) {
+		return
+	}
+	p.mu.Lock()
+	p.orders = append(p.orders, o)
+	p.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) postUsage(w http.ResponseWriter, r *http.Request) {
+	var u UsageReport
+	if !decodeBody(w, r, &u) {
+		return
+	}
+	p.mu.Lock()
+	p.usage = append(p.usage, u)
+	p.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func decodeBody(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/state/recorder/doc.go
@@ -0,0 +1,3 @@
+// Package recorder keeps a process's metrics and shows them as text that
+// common scrapers read.
+package recorder
--- /dev/null
+++ b/transport/ticker/ticker.go
@@ -0,0 +1,70 @@
+package ticker
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"radishspoke"
+)
+
+// BootClock reads CLOCK_BOOTTIME. The zero value is ready to use.
+type BootClock struct{}
+
+// Now returns the time since the host booted. It panics if the host has no
+// such clock.
+func (BootClock) Now() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic("ticker: clock_gettime: " + err.Error())
+	}
+	return time.Duration(t.Nano())
+}
+
+// RunClock reads Go's monotonic clock, which is virtual inside a synctest
+// bubble.
+type RunClock struct{ start time.Time }
+
+// NewRunClock returns a clock that reads one hour now, so that times before
+// the start stay positive.
+func NewRunClock() *RunClock { return &RunClock{start: time.Now().Add(-time.Hour)} }
+
+// Now returns the time since an hour before the clock was made.
+func (c *RunClock) Now() time.Duration { return time.Since(c.start) }
+
+// Service implements radishspoke.Timers on a clock.
+type Service struct{ radishspoke.Clock }
+
+// New returns a timer service that reads c.
+func New(c radishspoke.Clock) *Service { return &Service{Clock: c} }
+
+// Every subscribes to a tick each period. It panics if period is not positive.
+func (s *Service) Every(period time.Duration) (<-chan radishspoke.Tick, func()) {
+	out := make(chan radishspoke.Tick, 1)
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	t := time.NewTicker(period)
+	go func() {
+		defer close(done)
+		defer t.Stop()
+		last := s.Now()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-t.C:
+			}
+			now := s.Now()
+			tick := radishspoke.Tick{At: now, Paused: max(0, now-last-period)}
+			last = now
+			select {
+			case out <- tick:
+			default:
+			}
+		}
+	}()
+	return out, func() {
+		close(stop)
+		<-done
+	}
+}
