Test whole answers under failure on a network in memory

Cause: the path had no tests; a cut, silent or crossed connection could give a wrong answer unseen.

The session library keeps timers in a pool that outlives a bubble, so pools are emptied between.

Nothing was shown failing first here; the checkers still need broken builds to be tested on.

--- a/internal/assembler/dev.go
+++ b/internal/assembler/dev.go
@@ -41,6 +41,8 @@
 	Secrets map[string]string
 
 	env     Environment
+	network func(process string) radishspoke.Network
+	starts  uint64
 	servers []*http.Server
 	group   sync.WaitGroup
 }
@@ -59,6 +61,10 @@
 	// LedgerDelay is how long a ledger takes to answer an order.
 	LedgerDelay time.Duration
 
+	// Network, if set, returns the network as one process sees it. The
+	// names are those of the processes, "platform", and those of targets.
+	Network func(process string) radishspoke.Network
+
 	// ProbeInterval and ProbeTimeout are of every process; 1 s and 2 s if
 	// zero.
 	ProbeInterval time.Duration
@@ -81,7 +87,10 @@
 	}
 	d := &Dev{
 		Platform: fake.NewPlatform(), Engines: map[string]*fake.Engine{}, Ledgers: map[string]*fake.Ledger{},
-		Sidecars: map[string]*Sidecar{}, Secrets: map[string]string{}, env: env,
+		Sidecars: map[string]*Sidecar{}, Secrets: map[string]string{}, env: env, network: s.Network,
+	}
+	if d.network == nil {
+		d.network = func(string) radishspoke.Network { return env.Network }
 	}
 	if err := d.start(ctx, s, &v); err != nil {
 		d.Close()
@@ -91,7 +100,7 @@
 }
 
 func (d *Dev) start(ctx context.Context, s DevSettings, v *radishspoke.Inventory) error {
-	if err := d.serve(loopback(devPlatformPort), d.Platform.Handler()); err != nil {
+	if err := d.serve("platform", loopback(devPlatformPort), d.Platform.Handler()); err != nil {
 		return err
 	}
 	if err := d.commit(ctx, s.Inventory, v); err != nil {
@@ -118,8 +127,8 @@
 }
 
 // serve runs an HTTP server for a fake.
-func (d *Dev) serve(address string, h http.Handler) error {
-	l, err := d.env.Network.Listen(address)
+func (d *Dev) serve(process, address string, h http.Handler) error {
+	l, err := d.network(process).Listen(address)
 	if err != nil {
 		return err
 	}
@@ -145,7 +154,7 @@
 		d.Secrets[t.Name] = secret
 		doc.Keys = append(doc.Keys, radishspoke.Key{ID: t.Name + "-1", Team: t.Name, Hash: authenticator.Hash(secret)})
 	}
-	c := storer.New(d.env.Network, loopback(devPlatformPort), storeTimeout)
+	c := storer.New(d.network("operator"), loopback(devPlatformPort), storeTimeout)
 	defer c.Close()
 	if _, err := editor.New(c).Commit(ctx, 0, doc); err != nil {
 		return fmt.Errorf("store first configuration: %w", err)
@@ -163,7 +172,7 @@
 			l = &fake.Ledger{Delay: s.LedgerDelay}
 			d.Ledgers[t.Group] = l
 		}
-		return d.serve(t.Address, l.Handler())
+		return d.serve(t.Name, t.Address, l.Handler())
 	}
 	m, _ := v.Model(t.Model)
 	es := fake.EngineSettings{
@@ -175,14 +184,14 @@
 	}
 	e := fake.NewEngine(es)
 	d.Engines[t.Name] = e
-	return d.serve(t.Address, e.Handler())
+	return d.serve(t.Name, t.Address, e.Handler())
 }
 
 // StartSidecar starts the sidecar of target number i.
 func (d *Dev) StartSidecar(ctx context.Context, s DevSettings, t radishspoke.Target, i int) error {
 	ps := d.settings(s, "sidecar-"+t.Name, t.Zone)
 	ps.Sessions.Address, ps.Operators.Address, ps.Sidecar.Target = t.Sidecar, loopback(devSidecarPort+i), t.Name
-	c, err := NewSidecar(ctx, ps, d.seeded(uint64(i)+1))
+	c, err := NewSidecar(ctx, ps, d.environment(ps.Process.Name, uint64(i)+1))
 	if err != nil {
 		return fmt.Errorf("start sidecar of %s: %w", t.Name, err)
 	}
@@ -195,7 +204,7 @@
 	ps := d.settings(s, fmt.Sprintf("entry-%d", i+1), zone)
 	ps.Sessions.Address, ps.Operators.Address = loopback(devSessionPort+i), loopback(devOperatorPort+i)
 	ps.Callers.Address = loopback(devCallerPort + i)
-	e, err := NewEntry(ps, d.seeded(uint64(i)+entrySeeds))
+	e, err := NewEntry(ps, d.environment(ps.Process.Name, uint64(i)+entrySeeds))
 	if err != nil {
 		return fmt.Errorf("start entry %d: %w", i+1, err)
 	}
@@ -203,11 +212,17 @@
 	return nil
 }
 
-const entrySeeds = 1 << 20 // entries' seeds start above the sidecars'
+const (
+	entrySeeds = 1 << 20            // entries' seeds start above the sidecars'
+	startShift = 24                 // a process started again gets another seed
+	seedFactor = 0x9e3779b97f4a7c15 // spreads the deployment's seed over all bits
+)
 
-func (d *Dev) seeded(n uint64) Environment {
+func (d *Dev) environment(process string, n uint64) Environment {
 	env := d.env
-	env.Seed = env.Seed*0x9e3779b97f4a7c15 + n
+	env.Network = d.network(process)
+	d.starts++
+	env.Seed = env.Seed*seedFactor + n + d.starts<<startShift
 	return env
 }
 
--- /dev/null
+++ b/internal/assembler/faults_test.go
@@ -0,0 +1,5 @@
+package assembler
+
+import "radishspoke/internal/fake"
+
+var outage = fake.Faults{Outage: true}
--- /dev/null
+++ b/internal/assembler/harness_test.go
@@ -0,0 +1,284 @@
+package assembler
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"radishspoke"
+	"radishspoke/internal/fake"
+	"radishspoke/state/parser"
+	"radishspoke/transport"
+	"radishspoke/transport/ticker"
+)
+
+// testInventory is a small deployment: two engines of one model, two ledgers.
+const testInventory = `
+[zone a]
+[zone b]
+[host h1]
+zone = a
+[host h2]
+zone = b
+[model m]
+version = 1
+[target e1]
+host = h1
+kind = engine
+address = 127.0.0.1:1101
+sidecar = 127.0.0.1:1201
+model = m
+fencing = yes
+[target e2]
+host = h2
+kind = engine
+address = 127.0.0.1:1102
+sidecar = 127.0.0.1:1202
+model = m
+[target l1]
+host = h1
+kind = service
+group = ledger
+address = 127.0.0.1:1103
+sidecar = 127.0.0.1:1203
+[target l2]
+host = h2
+kind = service
+group = ledger
+address = 127.0.0.1:1104
+sidecar = 127.0.0.1:1204
+[team big]
+weight = 2
+rate = 100000
+burst = 200000
+[team small]
+rate = 1000
+burst = 2000
+[route chat]
+path = /v1/chat/completions
+methods = POST
+kind = model
+idempotent = yes
+deadline = 60s
+[route stock]
+path = /stock
+methods = GET
+kind = service
+group = ledger
+idempotent = yes
+deadline = 5s
+[route reserve]
+path = /reserve
+methods = POST
+kind = service
+group = ledger
+deadline = 20s
+[rules]
+drain-timeout = 30s
+max-output = 2000
+`
+
+// bed is a deployment on a network in memory, inside a synctest bubble.
+type bed struct {
+	*qt.C
+	*Dev
+	settings DevSettings
+	network  *fake.Network
+	client   *http.Client
+}
+
+// inBubble runs f with a deployment that has settled.
+func inBubble(t *testing.T, change func(*DevSettings), f func(*bed)) {
+	clearPools()
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, change)
+		defer b.close()
+		time.Sleep(3 * time.Second) // leases are taken, sessions are up
+		f(b)
+	})
+}
+
+// clearPools empties every sync.Pool. The session library keeps timers in
+// one, and a timer of one bubble must not be used in the next.
+func clearPools() {
+	runtime.GC()
+	runtime.GC()
+}
+
+func newBed(t *testing.T, change func(*DevSettings)) *bed {
+	b := &bed{C: qt.New(t), network: fake.NewNetwork()}
+	b.settings = DevSettings{Inventory: []byte(testInventory), Network: b.network.Host}
+	if change != nil {
+		change(&b.settings)
+	}
+	log := slog.New(slog.DiscardHandler)
+	if testing.Verbose() {
+		log = slog.New(slog.NewTextHandler(testWriter{t}, &slog.HandlerOptions{Level: slog.LevelWarn}))
+	}
+	d, err := NewDev(t.Context(), b.settings, Environment{Clock: ticker.NewRunClock(), Log: log, Seed: 1})
+	b.Assert(err, qt.IsNil)
+	b.Dev = d
+	b.client = &http.Client{Transport: transport.HTTP(b.network.Host("caller"))}
+	return b
+}
+
+type testWriter struct{ t *testing.T }
+
+func (w testWriter) Write(p []byte) (int, error) {
+	w.t.Log(strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
+func (b *bed) close() {
+	b.client.CloseIdleConnections()
+	b.Close()
+}
+
+// target returns a target of the inventory and its number.
+func (b *bed) target(name string) (radishspoke.Target, int) {
+	v, err := parser.Inventory("test", b.settings.Inventory)
+	b.Assert(err, qt.IsNil)
+	for i, t := range v.Targets {
+		if t.Name == name {
+			return t, i
+		}
+	}
+	b.Fatalf("no target %s", name)
+	return radishspoke.Target{}, 0
+}
+
+// killSidecar ends a sidecar at once, as a crash would.
+func (b *bed) killSidecar(target string) {
+	b.Sidecars[target].Close()
+	delete(b.Sidecars, target)
+}
+
+func (b *bed) restartSidecar(target string) {
+	t, i := b.target(target)
+	b.Assert(b.StartSidecar(context.Background(), b.settings, t, i), qt.IsNil)
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status  int
+	header  http.Header
+	text    string // of a completion, or the body
+	tokens  int
+	done    bool // [DONE] came
+	failure string
+	err     error
+}
+
+func (r reply) outcome() string { return r.header.Get("Radishspoke-Outcome") }
+
+func (b *bed) request(entry int, method, path, team, body string, header map[string]string) *http.Request {
+	q, err := http.NewRequest(method, "http://"+DevCallers(entry)+path, strings.NewReader(body))
+	b.Assert(err, qt.IsNil)
+	if team != "" {
+		q.Header.Set("Authorization", "Bearer "+b.Secrets[team])
+	}
+	if strings.HasPrefix(path, "/v1/") {
+		q.Header.Set("Content-Type", "application/json")
+	}
+	for k, v := range header {
+		q.Header.Set(k, v)
+	}
+	return q
+}
+
+// call sends a request and reads the whole answer.
+func (b *bed) call(entry int, method, path, team, body string, header map[string]string) reply {
+	return b.read(b.request(entry, method, path, team, body, header), nil)
+}
+
+// chat asks for a streamed completion.
+func (b *bed) chat(entry int, team, prompt string, most int) reply {
+	return b.read(b.request(entry, http.MethodPost, "/v1/chat/completions", team, chatBody(prompt, most), nil), nil)
+}
+
+func chatBody(prompt string, most int) string {
+	return fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, most, prompt)
+}
+
+// whole returns the text that a chat must bring.
+func whole(prompt string, most int) string {
+	return fake.Text("m", "user: "+prompt+"\n", most)
+}
+
+// read sends q and reads its answer; each is called at every event.
+func (b *bed) read(q *http.Request, each func(tokens int)) reply {
+	a, err := b.client.Do(q)
+	if err != nil {
+		return reply{err: err, header: http.Header{}}
+	}
+	defer func() { _ = a.Body.Close() }()
+	r := reply{status: a.StatusCode, header: a.Header}
+	if a.Header.Get("Content-Type") != "text/event-stream" {
+		data, err := io.ReadAll(a.Body)
+		r.text, r.err = string(data), err
+		return r
+	}
+	s := bufio.NewScanner(a.Body)
+	for s.Scan() {
+		r.event(s.Text())
+		if each != nil {
+			each(r.tokens)
+		}
+	}
+	r.err = s.Err()
+	return r
+}
+
+func (r *reply) event(line string) {
+	text, ok := strings.CutPrefix(line, "data: ")
+	if !ok {
+		return
+	}
+	if text == "[DONE]" {
+		r.done = true
+		return
+	}
+	var e struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+		Error struct {
+			Message string `json:"message"`
+			Outcome string `json:"outcome"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal([]byte(text), &e); err != nil {
+		r.err = err
+		return
+	}
+	r.failure = e.Error.Message
+	for _, c := range e.Choices {
+		if c.Delta.Content != "" {
+			r.text += c.Delta.Content
+			r.tokens++
+		}
+	}
+}
+
+// mustBeWhole checks that a streamed chat brought its own answer and no other.
+func (b *bed) mustBeWhole(r reply, prompt string, most int) {
+	b.Helper()
+	b.Assert(r.err, qt.IsNil)
+	b.Assert(r.failure, qt.Equals, "")
+	b.Assert(r.status, qt.Equals, http.StatusOK, qt.Commentf("%s", r.text))
+	b.Assert(r.text, qt.Equals, whole(prompt, most))
+	b.Assert(r.done, qt.IsTrue)
+}
