--- a/coordination/dispatcher/attempt.go
+++ b/coordination/dispatcher/attempt.go
@@ -33,6 +33,7 @@
 		if err != nil {
 			return err
 		}
+		j.target, j.placedAfter = c.Target.Name, time.Since(j.start)
 		err = d.startable(j)
 		if err == nil {
 			err = d.runAt(ctx, j, c)
@@ -217,6 +218,9 @@
 			return err
 		}
 	}
+	if j.firstAfter == 0 {
+		j.firstAfter = time.Since(j.start)
+	}
 	if f.Offset > j.position {
 		return fmt.Errorf("%w: frame at %d, answer at %d", errLost, f.Offset, j.position)
 	}
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -139,8 +139,13 @@
 	cost    float64
 	item    scheduler.Item[*job]
 	placed  chan placement
+	target  string // the last one
 	start   time.Time
 
+	// charged, placed and first are how long after the start the team had
+	// been charged, a target was chosen, and the answer began.
+	chargedAfter, placedAfter, firstAfter time.Duration
+
 	// attempt numbers the executions asked for, position is how much of
 	// the answer the sink has.
 	attempt  uint32
@@ -171,6 +176,7 @@
 	deadline, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
 	receipt, err := d.charge(deadline, j)
+	j.chargedAfter = time.Since(j.start)
 	if err == nil {
 		err = d.run(deadline, j)
 		d.settle(j, receipt, err)
@@ -178,7 +184,8 @@
 	if err != nil && ctx.Err() == nil {
 		err = j.asFailure(err)
 	}
-	d.log.Info("request served", "request", q.ID, "team", q.Team, "route", q.Route.Name, "took", time.Since(j.start),
+	d.log.Info("request served", "request", q.ID, "team", q.Team, "route", q.Route.Name, "target", j.target,
+		"charged", j.chargedAfter, "placed", j.placedAfter, "first", j.firstAfter, "took", time.Since(j.start),
 		"attempts", j.attempt, "length", j.position, "error", errorText(err))
 	return err
 }
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -37,6 +37,11 @@
 	// reader; 10 s if zero.
 	DetachGrace time.Duration
 
+	// Pace is the time between two reads of an engine's stream after its
+	// first token: tokens that come closer together are passed on in one
+	// frame. 20 ms if zero, none if negative.
+	Pace time.Duration
+
 	// MaxRecords is the most ids remembered; new requests are refused when
 	// there are more. 131,072 if zero.
 	MaxRecords int
@@ -46,6 +51,7 @@
 	defaultAnswerKeep  = time.Minute
 	defaultRequestKeep = 15 * time.Minute
 	defaultDetachGrace = 10 * time.Second
+	defaultPace        = 20 * time.Millisecond
 	defaultMaxRecords  = 1 << 17
 	sweepInterval      = time.Second
 )
@@ -60,6 +66,9 @@
 	if s.DetachGrace == 0 {
 		s.DetachGrace = defaultDetachGrace
 	}
+	if s.Pace == 0 {
+		s.Pace = defaultPace
+	}
 	if s.MaxRecords == 0 {
 		s.MaxRecords = defaultMaxRecords
 	}
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -83,6 +83,22 @@
 		if b.End {
 			return &wire.End{Reason: b.Reason, PromptTokens: uint32(b.Usage.Prompt), CachedTokens: uint32(b.Usage.Cached)}, nil
 		}
+		x.pace(ctx)
+	}
+}
+
+// pace waits for the next moment at which streams are read. The moments are
+// the same for all, so that their frames share system calls on the way.
+func (x *Executor) pace(ctx context.Context) {
+	if x.settings.Pace < 0 {
+		return
+	}
+	now := time.Now()
+	t := time.NewTimer(now.Truncate(x.settings.Pace).Add(x.settings.Pace).Sub(now))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
 }
 
--- a/internal/assembler/sidecar.go
+++ b/internal/assembler/sidecar.go
@@ -108,6 +108,7 @@
 	s := executor.Settings{
 		Target: c.target.Name, Incarnation: c.incarnation,
 		AnswerKeep: c.settings.Sidecar.AnswerKeep, RequestKeep: c.settings.Sidecar.RequestKeep,
+		Pace: paceOf(c.settings.Sidecar.Pace),
 	}
 	c.executor = executor.New(s, e, v, c.meter, c.load, c.timers, c.log)
 	m := c.executor.Methods()
@@ -116,6 +117,14 @@
 	c.server = listener.New(m, c.settings.Sessions.ProbeTimeout, c.answer, c.log)
 }
 
+// paceOf turns a setting of zero, no pace, into the executor's form.
+func paceOf(d time.Duration) time.Duration {
+	if d == 0 {
+		return -1
+	}
+	return d
+}
+
 func (c *Sidecar) start() error {
 	if err := c.serveSessions(); err != nil {
 		return err
--- a/state/parser/settings.go
+++ b/state/parser/settings.go
@@ -64,6 +64,10 @@
 	// AnswerKeep is how long a finished answer can be fetched again.
 	AnswerKeep time.Duration `ini:"answer-keep" default:"60s" min:"1" max:"3600"`
 
+	// Pace is the least time between two parts of a generated answer:
+	// tokens that come closer together travel as one part.
+	Pace time.Duration `ini:"pace" default:"20ms" min:"0" max:"1"`
+
 	// RequestKeep is how long a request's id is remembered, so that it does
 	// not run twice.
 	RequestKeep time.Duration `ini:"request-keep" default:"15m" min:"60" max:"86400"`
--- a/transport/adapter/engine.go
+++ b/transport/adapter/engine.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &tokenStream{body: r.Body, lines: bufio.NewReader(r.Body), produced: produced}, nil
+	return &tokenStream{body: r.Body, lines: bufio.NewReaderSize(r.Body, maxLine), produced: produced}, nil
 }
 
 type tokenStream struct {
@@ -65,21 +65,44 @@
 
 func (s *tokenStream) Close() error { return s.body.Close() }
 
-// Next reads one line of the answer.
+// Next reads the lines of the answer that have come, at least one.
 func (s *tokenStream) Next() (radishspoke.TokenBatch, error) {
-	b, err := s.lines.ReadBytes('\n')
+	var out radishspoke.TokenBatch
+	for {
+		if err := s.line(&out); err != nil {
+			return radishspoke.TokenBatch{}, err
+		}
+		if out.End || !s.ready() {
+			return out, nil
+		}
+	}
+}
+
+// ready tells whether a whole line can be read without waiting.
+func (s *tokenStream) ready() bool {
+	held, err := s.lines.Peek(s.lines.Buffered())
+	return err == nil && bytes.IndexByte(held, '\n') >= 0
+}
+
+// line adds one line to a batch.
+func (s *tokenStream) line(out *radishspoke.TokenBatch) error {
+	b, err := s.lines.ReadSlice('\n')
 	if err != nil {
-		return radishspoke.TokenBatch{}, fmt.Errorf("%w: answer cut after %d tokens: %s", radishspoke.ErrTargetFailed, s.produced, err.Error())
+		return fmt.Errorf("%w: answer cut after %d tokens: %s", radishspoke.ErrTargetFailed, s.produced, err.Error())
 	}
 	var l generateLine
 	if err := json.Unmarshal(b, &l); err != nil {
-		return radishspoke.TokenBatch{}, fmt.Errorf("%w: decode answer: %s", radishspoke.ErrTargetFailed, err.Error())
+		return fmt.Errorf("%w: decode answer: %s", radishspoke.ErrTargetFailed, err.Error())
 	}
 	s.produced += len(l.Tokens)
-	return radishspoke.TokenBatch{
-		Tokens: l.Tokens, End: l.End, Reason: l.Reason,
-		Usage: radishspoke.Usage{Prompt: l.Prompt, Cached: l.Cached, Output: s.produced},
-	}, nil
+	if out.Tokens == nil {
+		out.Tokens = l.Tokens
+	} else {
+		out.Tokens = append(out.Tokens, l.Tokens...)
+	}
+	out.End, out.Reason = l.End, l.Reason
+	out.Usage = radishspoke.Usage{Prompt: l.Prompt, Cached: l.Cached, Output: s.produced}
+	return nil
 }
 
 // Cancel stops an answer.
@@ -151,4 +174,7 @@
 	return nil, fmt.Errorf("%w: status %d: %s", radishspoke.ErrTargetRefused, r.StatusCode, text)
 }
 
-const maxErrorText = 512 // bytes
+const (
+	maxErrorText = 512      // bytes
+	maxLine      = 64 << 10 // bytes
+)
