Give one execution to all requests with one idempotency key

Cause: Idempotency-Key was passed over, so a caller that asked again after a lost answer, or through the other entry, got a second reservation.

Change: before a keyed request is sent, its entry writes a claim row on condition that there is none, with the request's id, target and sidecar incarnation. An entry that finds a row attaches to that request. A row is replaced only on the sidecar's word that the request did not run and never will. While the store is down the request is refused as not run.

Weighed: claiming at the entry alone (fails with two entries), sending a key always to the same sidecar (fails when targets change), two writes per request with a done mark (twice the store's load; the sidecar's memory and an age bound on claims serve instead).

Claim rows are not cleaned up yet.

--- a/coordination/dispatcher/attempt.go
+++ b/coordination/dispatcher/attempt.go
@@ -39,6 +39,9 @@
 			err = d.runAt(ctx, j, c)
 		}
 		d.ended(c.Target.Name, errors.Is(err, errElsewhere))
+		if errors.Is(err, errClaimed) {
+			err = d.follow(ctx, j)
+		}
 		if !errors.Is(err, errElsewhere) {
 			return err
 		}
@@ -80,11 +83,16 @@
 // runAt executes the request at one target, over as many connections as it
 // takes.
 func (d *Dispatcher) runAt(ctx context.Context, j *job, c router.Choice) error {
-	incarnation := uint64(0)
-	sent := false
+	return d.executeAt(ctx, j, c.Target, 0, false)
+}
+
+// executeAt executes the request at a target, or attaches to it there.
+// Incarnation is that of the sidecar to which it was first sent, 0 if it has
+// not been sent.
+func (d *Dispatcher) executeAt(ctx context.Context, j *job, t radishspoke.Target, incarnation uint64, sent bool) error {
 	j.startedBefore = j.started
 	for try := 1; ; try++ {
-		s, err := d.pool.Open(ctx, c.Target.Sidecar, executor.ExecuteMethod)
+		s, err := d.pool.Open(ctx, t.Sidecar, executor.ExecuteMethod)
 		switch {
 		case err != nil && !sent:
 			return fmt.Errorf("%w: %s", errElsewhere, err.Error())
@@ -92,6 +100,13 @@
 			if incarnation == 0 {
 				incarnation = s.Incarnation
 			}
+			if !sent {
+				err = d.claim(ctx, j, t, incarnation)
+			}
+			if err != nil {
+				_ = s.Close()
+				return err
+			}
 			err = d.exchange(ctx, j, s, incarnation, sent)
 			sent = true
 		}
@@ -103,9 +118,9 @@
 			return err
 		}
 		if ctx.Err() != nil {
-			return fmt.Errorf("execute at %s: %w", c.Target.Name, ctx.Err())
+			return fmt.Errorf("execute at %s: %w", t.Name, ctx.Err())
 		}
-		d.log.Warn("answer's stream lost", "request", j.request.ID, "target", c.Target.Name, "offset", j.position, "try", try, "error", err)
+		d.log.Warn("answer's stream lost", "request", j.request.ID, "target", t.Name, "offset", j.position, "try", try, "error", err)
 		if j.request.Route.Idempotent && try >= attachTries {
 			return fmt.Errorf("%w: %s", errElsewhere, err.Error())
 		}
@@ -126,7 +141,7 @@
 	})
 	defer stop()
 	j.attempt++
-	q := j.execute(incarnation, attach)
+	q := j.execute(d.settings.Name, incarnation, attach)
 	j.started = true
 	if err := s.Write(q); err != nil {
 		return fmt.Errorf("%w: %s", errLost, err.Error())
@@ -142,10 +157,10 @@
 }
 
 // execute makes the message that starts the request or attaches to it.
-func (j *job) execute(incarnation uint64, attach bool) *wire.Execute {
+func (j *job) execute(entry string, incarnation uint64, attach bool) *wire.Execute {
 	r := j.request
 	q := &wire.Execute{
-		RequestId: r.ID, Attempt: j.attempt, Offset: j.position, Team: r.Team, Idempotent: r.Route.Idempotent,
+		Entry: entry, RequestId: j.executeID, Attempt: j.attempt, Offset: j.position, Team: r.Team, Idempotent: r.Route.Idempotent,
 		RemainingMs: time.Until(r.Deadline).Milliseconds(), Attach: attach, Incarnation: incarnation,
 	}
 	if g := r.Generation; g != nil {
@@ -187,7 +202,7 @@
 		if err := s.Read(f); err != nil {
 			return fmt.Errorf("%w: %s", errLost, err.Error())
 		}
-		if f.RequestId != j.request.ID || f.Attempt != attempt {
+		if f.RequestId != j.executeID || f.Attempt != attempt {
 			continue
 		}
 		if f.Failure != nil {
@@ -266,6 +281,9 @@
 // failed turns the sidecar's word into what to do next.
 func (j *job) failed(f *wire.Failure) error {
 	notRun := f.Outcome == wire.Outcome_OUTCOME_NOT_RUN
+	if f.Outcome == wire.Outcome_OUTCOME_RUN {
+		return &radishspoke.Failure{Outcome: radishspoke.OutcomeRun, Status: http.StatusConflict, Code: "answer_gone", Message: f.Reason}
+	}
 	if notRun {
 		j.started = j.startedBefore
 	}
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"radishspoke"
+	"radishspoke/coordination/claimer"
 	"radishspoke/coordination/limiter"
 	"radishspoke/coordination/retrier"
 	"radishspoke/coordination/router"
@@ -22,6 +23,9 @@
 
 // Settings of a Dispatcher.
 type Settings struct {
+	// Name is that of this entry.
+	Name string
+
 	Router router.Settings
 
 	// QueueLimit is the most requests that wait for one team; 256 if zero.
@@ -48,6 +52,7 @@
 	limiter  *limiter.Limiter
 	clock    radishspoke.Clock
 	check    Check
+	claims   *claimer.Claimer
 	log      *slog.Logger
 	retries  *retrier.Budget
 
@@ -61,7 +66,7 @@
 }
 
 // New returns a Dispatcher without targets.
-func New(s Settings, p *connector.Pool, l *limiter.Limiter, c radishspoke.Clock, check Check, random *rand.Rand, log *slog.Logger) *Dispatcher {
+func New(s Settings, p *connector.Pool, l *limiter.Limiter, c radishspoke.Clock, check Check, claims *claimer.Claimer, random *rand.Rand, log *slog.Logger) *Dispatcher {
 	if s.QueueLimit == 0 {
 		s.QueueLimit = defaultQueueLimit
 	}
@@ -69,7 +74,7 @@
 		s.Patience = defaultPatience
 	}
 	return &Dispatcher{
-		settings: s, pool: p, limiter: l, clock: c, check: check, log: log,
+		settings: s, pool: p, limiter: l, clock: c, check: check, claims: claims, log: log,
 		retries: retrier.New(defaultRetryRatio),
 		router:  router.New(s.Router, random),
 		queue:   scheduler.New[*job](s.QueueLimit),
@@ -156,6 +161,11 @@
 	// started is set once a target may have begun to run the request.
 	started bool
 
+	// executeID is the id under which sidecars know the request, claim the
+	// row that says so, if the caller brought a key.
+	executeID string
+	claim     claimer.Held
+
 	// startedBefore is what started was before the present target.
 	startedBefore bool
 }
@@ -204,7 +214,7 @@
 }
 
 func (d *Dispatcher) newJob(q *radishspoke.Request, s radishspoke.Sink) *job {
-	j := &job{request: q, sink: s, placed: make(chan placement, 1), start: time.Now()}
+	j := &job{request: q, executeID: q.ID, sink: s, placed: make(chan placement, 1), start: time.Now()}
 	if g := q.Generation; g != nil {
 		j.work = router.Work{
 			Pool: g.Model, PromptTokens: radishspoke.PromptTokens(g.Prompt), OutputTokens: g.MaxTokens,
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -187,7 +187,7 @@
 	}
 	r, upload, failure := x.admit(q)
 	if failure == nil {
-		failure = r.attach(q.Attempt, q.Offset)
+		failure = r.attach(q.Entry, q.Attempt, q.Offset)
 	}
 	if failure != nil {
 		if upload != nil {
@@ -196,7 +196,7 @@
 		return s.Write(&wire.Frame{RequestId: q.RequestId, Attempt: q.Attempt, Offset: q.Offset, Failure: failure})
 	}
 	defer func() { r.detach(time.Now()) }()
-	c := &cursor{record: r, attempt: q.Attempt, position: q.Offset}
+	c := &cursor{record: r, entry: q.Entry, attempt: q.Attempt, position: q.Offset}
 	x.group.Add(1)
 	go func() {
 		defer x.group.Done()
--- a/coordination/executor/record.go
+++ b/coordination/executor/record.go
@@ -19,8 +19,9 @@
 	mu      sync.Mutex
 	changed sync.Cond
 
-	// attempt is the newest one attached; older ones stop sending.
-	attempt  uint32
+	// attempts holds the newest one attached of each entry; older ones stop
+	// sending.
+	attempts map[string]uint32
 	attached int
 	detached time.Time // when the last reader left
 
@@ -40,7 +41,7 @@
 }
 
 func newRecord(id string, idempotent, generation bool, base uint64) *record {
-	r := &record{id: id, idempotent: idempotent, generation: generation, base: base, sent: base, cancel: func() {}}
+	r := &record{id: id, idempotent: idempotent, generation: generation, base: base, sent: base, attempts: map[string]uint32{}, cancel: func() {}}
 	r.changed.L = &r.mu
 	return r
 }
@@ -112,18 +113,22 @@
 	return true
 }
 
-// attach makes attempt the one that sends. It tells whether offset is held
-// and no newer attempt is attached.
-func (r *record) attach(attempt uint32, offset uint64) *wire.Failure {
+// attach makes attempt the one of its entry that is sent to. It fails if a
+// newer one is attached or the answer is not held from offset on.
+func (r *record) attach(entry string, attempt uint32, offset uint64) *wire.Failure {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if attempt < r.attempt {
+	if attempt < r.attempts[entry] {
 		return &wire.Failure{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: "a newer attempt is attached"}
 	}
 	if offset < r.base || offset > r.length() {
-		return &wire.Failure{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: "the answer is no longer held from that offset", Elsewhere: r.idempotent}
+		outcome := wire.Outcome_OUTCOME_UNKNOWN
+		if r.end != nil {
+			outcome = wire.Outcome_OUTCOME_RUN
+		}
+		return &wire.Failure{Outcome: outcome, Reason: "the answer is no longer held from that offset", Elsewhere: r.idempotent}
 	}
-	r.attempt = attempt
+	r.attempts[entry] = attempt
 	r.attached++
 	r.sent = max(offset, r.base)
 	r.changed.Broadcast()
@@ -140,6 +145,7 @@
 // cursor is one reader's place in a record.
 type cursor struct {
 	record   *record
+	entry    string
 	attempt  uint32
 	position uint64
 	headSent bool
@@ -161,7 +167,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for {
-		if c.gone || r.attempt != c.attempt {
+		if c.gone || r.attempts[c.entry] != c.attempt {
 			return nil
 		}
 		if f := c.fill(); f != nil {
@@ -174,6 +180,10 @@
 // fill makes a frame of what there is past the cursor, or returns nil.
 func (c *cursor) fill() *wire.Frame {
 	r, f := c.record, &c.frame
+	if c.position < r.base {
+		f.Failure = &wire.Failure{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: "the answer is no longer held from that offset"}
+		return f
+	}
 	f.RequestId, f.Attempt, f.Offset = r.id, c.attempt, c.position
 	f.Head, f.Tokens, f.Data, f.End, f.Failure = nil, nil, nil, nil, nil
 	if r.head != nil && !c.headSent {
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -394,3 +394,12 @@
 	}
 	return out
 }
+
+// Target returns the target of that name and whether there is one.
+func (r *Router) Target(name string) (radishspoke.Target, bool) {
+	t, ok := r.targets[name]
+	if !ok {
+		return radishspoke.Target{}, false
+	}
+	return t.Target, true
+}
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -12,6 +12,7 @@
 
 	"radishspoke"
 	"radishspoke/coordination/authenticator"
+	"radishspoke/coordination/claimer"
 	"radishspoke/coordination/dispatcher"
 	"radishspoke/coordination/elector"
 	"radishspoke/coordination/limiter"
@@ -75,8 +76,8 @@
 	e.elector = elector.New(elector.Settings{Name: s.Process.Name, Address: s.Sessions.Address}, e.store, e.timers, e.wantedLeases, e.log)
 	e.owner = limiter.NewOwner(e.timers, e.tenure, e.team)
 	e.limiter = limiter.New(s.Process.Name, e.timers, e.askBudget)
-	e.dispatcher = dispatcher.New(dispatcher.Settings{Router: router.Settings{Zone: s.Process.Zone}},
-		e.pool, e.limiter, e.timers, e.auth.Valid, e.random(routeDuty), e.log)
+	e.dispatcher = dispatcher.New(dispatcher.Settings{Name: s.Process.Name, Router: router.Settings{Zone: s.Process.Zone}},
+		e.pool, e.limiter, e.timers, e.auth.Valid, claimer.New(e.store), e.random(routeDuty), e.log)
 	e.gateway = gateway.New(gateway.Settings{MaxBody: int64(s.Callers.MaxBody), BodyTimeout: s.Callers.BodyTimeout},
 		e.auth, e.dispatch, e.log)
 	e.server = listener.New(encoder.Methods{
--- a/internal/assembler/harness_test.go
+++ b/internal/assembler/harness_test.go
@@ -143,8 +143,13 @@
 func (b *bed) close() {
 	b.client.CloseIdleConnections()
 	b.Close()
+	time.Sleep(lateTime) // handlers of the fakes come to their end
 }
 
+// lateTime is longer than anything still on its way can take to have an
+// effect.
+const lateTime = time.Minute
+
 // target returns a target of the inventory and its number.
 func (b *bed) target(name string) (radishspoke.Target, int) {
 	v, err := parser.Inventory("test", b.settings.Inventory)
--- a/request.go
+++ b/request.go
@@ -41,6 +41,10 @@
 	Route    Route
 	Deadline time.Time
 
+	// Claim, if set, is the caller's own key for the request: of all
+	// requests with it, one runs.
+	Claim *Claim
+
 	// Generation is set on model routes.
 	Generation *Generation
 
@@ -137,3 +141,9 @@
 	// End is called once, after the last part of a whole answer.
 	End(e End) error
 }
+
+// Claim is a caller's idempotency key and what it was first used for.
+type Claim struct {
+	Key         string // hash of the team and the caller's key
+	Fingerprint string // hash of the request
+}
--- a/transport/gateway/call.go
+++ b/transport/gateway/call.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"net/http"
@@ -41,6 +43,7 @@
 		c.Body = io.MultiReader(bytes.NewReader(start), &timedBody{r: body, control: control})
 	}
 	q.Call = c
+	q.Claim = claimOf(q, r.Header.Get(IdempotencyHeader), c, start)
 	s := &callSink{w: w, control: control, id: q.ID, timeout: g.settings.WriteTimeout}
 	err = g.dispatch(r.Context(), q, s)
 	switch {
@@ -53,6 +56,28 @@
 	}
 }
 
+// claimOf returns the claim of a request that brings an idempotency key, or
+// nil if it needs none. Requests are the same if their method, path and first
+// replayLimit bytes are.
+func claimOf(q *radishspoke.Request, key string, c *radishspoke.Call, start []byte) *radishspoke.Claim {
+	if key == "" || q.Route.Idempotent {
+		return nil
+	}
+	return &radishspoke.Claim{
+		Key:         hashOf(q.Team, q.Route.Name, key),
+		Fingerprint: hashOf(c.Method, c.Path, string(start)),
+	}
+}
+
+// hashOf hashes parts so that no two lists of parts give the same input.
+func hashOf(parts ...string) string {
+	h := sha256.New()
+	for _, p := range parts {
+		_, _ = fmt.Fprintf(h, "%d:%s", len(p), p)
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
 // timedBody lifts the read deadline once the body has been read. Left in
 // place, it would end the request when it passes.
 type timedBody struct {
