Keep budgets with an owner through a store outage, by votes

Cause: budgets hung on leases in the table service. A ten-minute outage with one of three entries killed left 10,263 of 11,401 requests refused although within their team's rate: no new owner could be written.

Change: budget rights are held by the votes of up to nine entries, named in a row of the table that changes by one member at a time. The store's plain leases stay for the keeper of that row.

Two entries can't go on after one of them and the store are lost; three can.

--- a/cmd/radishspoke/status.go
+++ b/cmd/radishspoke/status.go
@@ -224,6 +224,7 @@
 	for n, l := range e.Leases {
 		names = append(names, fmt.Sprintf("%s/%d", n, l.Epoch))
 	}
+	names = append(names, e.Rights...)
 	sort.Strings(names)
 	if len(names) == 0 {
 		return "-"
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -248,7 +248,7 @@
 func (d *Dispatcher) charge(ctx context.Context, j *job) (limiter.Receipt, error) {
 	q := j.request
 	if q.Team == "" || j.cost == 0 {
-		return nil, nil
+		return limiter.Receipt{}, nil
 	}
 	r, err := d.limiter.Charge(ctx, q.Team, j.cost, time.Until(q.Deadline))
 	var limited *limiter.LimitedError
@@ -256,23 +256,23 @@
 	case err == nil:
 		return r, nil
 	case errors.As(err, &limited):
-		return nil, &radishspoke.Failure{
+		return limiter.Receipt{}, &radishspoke.Failure{
 			Outcome: radishspoke.OutcomeNotRun, Status: http.StatusTooManyRequests, Code: "rate_limited",
 			Message: fmt.Sprintf("team %s is at its rate", q.Team), RetryAfter: max(time.Second, limited.RetryAfter),
 		}
 	case errors.Is(err, limiter.ErrTooLarge):
-		return nil, &radishspoke.Failure{
+		return limiter.Receipt{}, &radishspoke.Failure{
 			Outcome: radishspoke.OutcomeNotRun, Status: http.StatusBadRequest, Code: "request_too_large",
 			Message: fmt.Sprintf("team %s: %v", q.Team, err),
 		}
 	}
-	return nil, fmt.Errorf("charge team %s: %w", q.Team, err)
+	return limiter.Receipt{}, fmt.Errorf("charge team %s: %w", q.Team, err)
 }
 
 // settle gives back the part of the charge that was not used. What may have
 // run without an end is charged in full, but for a service call.
 func (d *Dispatcher) settle(j *job, r limiter.Receipt, err error) {
-	if len(r) == 0 {
+	if len(r.Parts) == 0 {
 		return
 	}
 	used := j.cost
--- a/coordination/limiter/limiter.go
+++ b/coordination/limiter/limiter.go
@@ -37,6 +37,14 @@
 // Ask sends a request for budget to the team's owner.
 type Ask func(ctx context.Context, q *wire.Budget) (*wire.BudgetReply, error)
 
+// Charge is one charge as it was made; Amount is what was used once it has
+// been settled.
+type Charge struct {
+	Team   string
+	At     time.Duration
+	Amount float64
+}
+
 // Limiter charges requests at one entry. Make it with New.
 type Limiter struct {
 	name   string
@@ -46,6 +54,10 @@
 	cancel context.CancelFunc
 	group  sync.WaitGroup
 
+	// Journal, if set before the first charge, is called with every charge
+	// when it is settled. It must not call the limiter.
+	Journal func(Charge)
+
 	mu    sync.Mutex
 	teams map[string]*account
 }
@@ -102,7 +114,7 @@
 	a.note(now, cost)
 	if a.most > 0 && cost > a.most {
 		l.mu.Unlock()
-		return nil, fmt.Errorf("%w: %.0f tokens of at most %.0f", ErrTooLarge, cost, a.most)
+		return Receipt{}, fmt.Errorf("%w: %.0f tokens of at most %.0f", ErrTooLarge, cost, a.most)
 	}
 	if len(a.waiting) == 0 {
 		if r, ok := a.purse.Charge(now, cost); ok {
@@ -132,14 +144,17 @@
 			a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
 		}
 	}
-	if w.receipt != nil {
+	if len(w.receipt.Parts) > 0 {
 		a.refunds = append(a.refunds, w.receipt.Settle(0)...)
 	}
-	return nil, fmt.Errorf("wait for budget: %w", err)
+	return Receipt{}, fmt.Errorf("wait for budget: %w", err)
 }
 
 // Settle gives back what a charge took beyond what was used.
 func (l *Limiter) Settle(team string, r Receipt, used float64) {
+	if l.Journal != nil {
+		l.Journal(Charge{Team: team, At: r.At, Amount: used})
+	}
 	parts := r.Settle(used)
 	if len(parts) == 0 {
 		return
@@ -265,9 +280,9 @@
 	for i, w := range a.waiting {
 		switch {
 		case a.most > 0 && w.cost > a.most:
-			w.end(nil, fmt.Errorf("%w: %.0f tokens of at most %.0f", ErrTooLarge, w.cost, a.most))
+			w.end(Receipt{}, fmt.Errorf("%w: %.0f tokens of at most %.0f", ErrTooLarge, w.cost, a.most))
 		case i == 0 && now+retry > w.deadline:
-			w.end(nil, &LimitedError{RetryAfter: retry})
+			w.end(Receipt{}, &LimitedError{RetryAfter: retry})
 		default:
 			kept = append(kept, w)
 		}
@@ -282,7 +297,7 @@
 	blocked := false
 	for _, w := range a.waiting {
 		if failure != nil {
-			w.end(nil, fmt.Errorf("wait for budget: %w", failure))
+			w.end(Receipt{}, fmt.Errorf("wait for budget: %w", failure))
 			continue
 		}
 		if !blocked {
@@ -293,7 +308,7 @@
 			blocked = true
 		}
 		if now >= w.deadline {
-			w.end(nil, &LimitedError{RetryAfter: headTime})
+			w.end(Receipt{}, &LimitedError{RetryAfter: headTime})
 			continue
 		}
 		kept = append(kept, w)
--- a/coordination/limiter/purse.go
+++ b/coordination/limiter/purse.go
@@ -17,8 +17,11 @@
 	Amount float64
 }
 
-// Receipt lists the parts of one charge.
-type Receipt []Part
+// Receipt is one charge.
+type Receipt struct {
+	At    time.Duration
+	Parts []Part
+}
 
 // Purse holds one team's grants at one entry. It is a pure core; the zero
 // value is an empty purse.
@@ -43,9 +46,9 @@
 // Charge takes amount out, oldest grants first, if there is as much.
 func (p *Purse) Charge(now time.Duration, amount float64) (Receipt, bool) {
 	if p.Left(now) < amount {
-		return nil, false
+		return Receipt{}, false
 	}
-	var out Receipt
+	out := Receipt{At: now}
 	for i := range p.grants {
 		g := &p.grants[i]
 		if now >= g.Expires || g.Amount == 0 {
@@ -54,7 +57,7 @@
 		part := min(g.Amount, amount)
 		g.Amount -= part
 		amount -= part
-		out = append(out, Part{Epoch: g.Epoch, Grant: g.ID, Amount: part})
+		out.Parts = append(out.Parts, Part{Epoch: g.Epoch, Grant: g.ID, Amount: part})
 		if amount <= 0 {
 			break
 		}
@@ -83,7 +86,7 @@
 // Settle returns what a charge took beyond the amount used.
 func (r Receipt) Settle(used float64) []Part {
 	var out []Part
-	for _, p := range r {
+	for _, p := range r.Parts {
 		spent := min(used, p.Amount)
 		used -= spent
 		if left := p.Amount - spent; left > 0 {
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"radishspoke/coordination/elector"
 	"radishspoke/coordination/limiter"
 	"radishspoke/coordination/router"
+	"radishspoke/coordination/voter"
 	"radishspoke/coordination/voucher"
 	"radishspoke/protocol/encoder"
 	"radishspoke/protocol/wire"
@@ -32,6 +32,7 @@
 	*process
 	pool       *connector.Pool
 	elector    *elector.Elector
+	voter      *voter.Voter
 	owner      *limiter.Owner
 	limiter    *limiter.Limiter
 	auth       *authenticator.Authenticator
@@ -74,6 +75,7 @@
 	e.auth = authenticator.New(func() bool { return e.voucher.Standing(e.watcher.Version(), e.watcher.Age()) })
 	e.pool = connector.New(e.env.Network, e.sessionSettings(), e.probe, e.observe)
 	e.elector = elector.New(elector.Settings{Name: s.Process.Name, Address: s.Sessions.Address}, e.store, e.timers, e.wantedLeases, e.log)
+	e.voter = voter.New(voter.Settings{Name: s.Process.Name, Rights: shardNames()}, e.timers, e.askVote, rankNames, e.random(voteDuty), e.log)
 	e.owner = limiter.NewOwner(e.timers, e.tenure, e.team)
 	e.limiter = limiter.New(s.Process.Name, e.timers, e.askBudget)
 	e.dispatcher = dispatcher.New(dispatcher.Settings{Name: s.Process.Name, Router: router.Settings{Zone: s.Process.Zone}},
@@ -84,6 +86,7 @@
 		fetchMethod:  encoder.Unary(e.fetch),
 		pushMethod:   encoder.Unary(e.push),
 		budgetMethod: encoder.Unary(e.handleBudget),
+		voteMethod:   encoder.Unary(e.handleVote),
 	}, s.Sessions.ProbeTimeout, e.answer, e.log)
 	e.watcher.Subscribe(e.configure)
 }
@@ -107,6 +110,8 @@
 	e.run(func(ctx context.Context) { e.announceLoop(ctx, e.announce(tracker.EntryKind, false)) })
 	e.run(func(ctx context.Context) { e.tracker.Run(ctx, e.random(trackDuty)) })
 	e.run(func(ctx context.Context) { e.elector.Run(ctx, e.timers) })
+	e.run(func(ctx context.Context) { e.voter.Run(ctx, e.timers) })
+	e.run(e.keeperLoop)
 	e.run(e.pollLoop)
 	e.run(e.keepLoop)
 	return nil
@@ -255,6 +260,9 @@
 		if err := e.watcher.Poll(ctx); err != nil && ctx.Err() == nil {
 			e.log.Warn("configuration not read", "error", err)
 		}
+		if err := e.readVoters(ctx); err != nil && ctx.Err() == nil {
+			e.log.Warn("voters not read", "error", err)
+		}
 		mean := max(leastPollInterval, time.Duration(len(e.tracker.Entries()))*time.Second/pollRate)
 		t := time.NewTimer(mean/2 + time.Duration(random.Int64N(int64(mean))))
 		select {
@@ -325,57 +333,6 @@
 	return out
 }
 
-// budgetShards is the number of leases over which the teams' budgets are
-// spread.
-const budgetShards = 16
-
-func shardOf(team string) string {
-	return fmt.Sprintf("budget-%02d", tracker.Weight("budget", team)%budgetShards)
-}
-
-// wantedLeases returns the leases whose best-ranked entry this one is.
-func (e *Entry) wantedLeases() []string {
-	if e.leaving.Load() {
-		return nil
-	}
-	entries := e.tracker.Entries()
-	var out []string
-	for i := range budgetShards {
-		name := fmt.Sprintf("budget-%02d", i)
-		r := tracker.Rank(name, entries)
-		if len(r) > 0 && r[0].Name == e.settings.Process.Name {
-			out = append(out, name)
-		}
-	}
-	return out
-}
-
-// tenure tells whether this entry owns a team's budget.
-func (e *Entry) tenure(team string) (int64, bool) { return e.elector.Holds(shardOf(team)) }
-
-func (e *Entry) handleBudget(_ context.Context, q *wire.Budget) (*wire.BudgetReply, error) {
-	return e.owner.Handle(q), nil
-}
-
-// askBudget asks the entry that owns a team's budget.
-func (e *Entry) askBudget(ctx context.Context, q *wire.Budget) (*wire.BudgetReply, error) {
-	if _, ok := e.tenure(q.Team); ok {
-		return e.owner.Handle(q), nil
-	}
-	for _, m := range tracker.Rank(shardOf(q.Team), e.tracker.Entries()) {
-		if m.Name == e.settings.Process.Name {
-			continue
-		}
-		r, err := connector.Call[wire.BudgetReply](ctx, e.pool, m.Address, budgetMethod, q)
-		if err == nil && r.Owner {
-			return r, nil
-		}
-	}
-	return nil, fmt.Errorf("budget of team %s: %w", q.Team, errNoOwner)
-}
-
-var errNoOwner = errors.New("no entry owns it now")
-
 // EntryStatus is what an entry says of itself to operators.
 type EntryStatus struct {
 	Name          string                   `json:"name"`
@@ -388,6 +345,8 @@
 	Running       int                      `json:"running"`
 	Waiting       int                      `json:"waiting"`
 	Leases        map[string]elector.Lease `json:"leases"`
+	Rights        []string                 `json:"rights"`
+	Voters        []string                 `json:"voters"`
 	Targets       []dispatcher.TargetView  `json:"targets"`
 }
 
@@ -399,7 +358,7 @@
 		Name: e.settings.Process.Name, Kind: tracker.EntryKind, Zone: e.settings.Process.Zone,
 		ConfigVersion: e.watcher.Version(), ConfigAge: age.Truncate(time.Millisecond).String(),
 		Standing: e.voucher.Standing(e.watcher.Version(), age), Leaving: e.leaving.Load(),
-		Running: all, Waiting: waiting, Leases: e.elector.Held(), Targets: e.dispatcher.Targets(),
+		Running: all, Waiting: waiting, Leases: e.elector.Held(), Rights: e.voter.Held(), Voters: e.voter.Set().Members, Targets: e.dispatcher.Targets(),
 	}
 }
 
@@ -420,6 +379,9 @@
 	case <-notice.C:
 	case <-ctx.Done():
 	}
+	q, cancel = context.WithTimeout(ctx, leaveTimeout)
+	e.voter.Leave(q)
+	cancel()
 	if err := e.callers.Shutdown(ctx); err != nil {
 		all, _ := e.dispatcher.Running()
 		e.log.Warn("entry stops with requests running", "requests", all, "error", err)
--- a/internal/assembler/harness_test.go
+++ b/internal/assembler/harness_test.go
@@ -18,7 +18,9 @@
 
 	"radishspoke"
 	"radishspoke/internal/fake"
+	"radishspoke/state/editor"
 	"radishspoke/state/parser"
+	"radishspoke/state/storer"
 	"radishspoke/transport"
 	"radishspoke/transport/ticker"
 )
@@ -287,3 +289,25 @@
 	b.Assert(r.text, qt.Equals, whole(prompt, most))
 	b.Assert(r.done, qt.IsTrue)
 }
+
+// withdraw commits a configuration in which a key is withdrawn.
+func (b *bed) withdraw(id string) {
+	b.edit(func(d *radishspoke.Document) {
+		for i := range d.Keys {
+			d.Keys[i].Withdrawn = d.Keys[i].Withdrawn || d.Keys[i].ID == id
+		}
+	})
+}
+
+// edit commits a change to the configuration.
+func (b *bed) edit(f func(*radishspoke.Document)) int64 {
+	c := storer.New(b.network.Host("operator"), DevPlatform(), storeTimeout)
+	defer c.Close()
+	e := editor.New(c)
+	now, err := e.Current(context.Background())
+	b.Assert(err, qt.IsNil)
+	f(&now.Document)
+	n, err := e.Commit(context.Background(), now.Version, now.Document)
+	b.Assert(err, qt.IsNil)
+	return n
+}
--- a/internal/assembler/process.go
+++ b/internal/assembler/process.go
@@ -42,6 +42,7 @@
 	fetchMethod  = "config.fetch"
 	pushMethod   = "config.push"
 	budgetMethod = "budget"
+	voteMethod   = "vote"
 )
 
 // process is what entries and sidecars have in common.
@@ -93,7 +94,7 @@
 	routeDuty uint64 = iota + 1
 	trackDuty
 	pollDuty
-	gossipDuty
+	voteDuty
 )
 
 // run starts a duty that ends with the process.
