Vote only when nothing can be forgotten, and refuse what is wrong by name

Cause: a new voter asked for every right at once and its own vote blocked the holder's renewals for 4 s; a right's bucket began empty at the first request rather than with the tenure; a sender that stalled in a body held its connection for good, as the server waits for the rest before it answers.

Change: a process that joins the voters asks for nothing for one lease; a holder of more than its part hands one right at a time to the member that ranks first; a bucket is empty when its tenure begins; a body's read deadline stays in place after it has passed.

A hand-over still starts the bucket empty.

--- a/coordination/limiter/owner.go
+++ b/coordination/limiter/owner.go
@@ -11,9 +11,9 @@
 // Validity is how long a grant may be spent.
 const Validity = 500 * time.Millisecond
 
-// Tenure tells under which lease epoch this process owns a team's budget,
-// and whether it does at this moment.
-type Tenure func(team string) (epoch int64, ok bool)
+// Tenure tells under which epoch this process owns a team's budget, since
+// when, and whether it does at this moment.
+type Tenure func(team string) (epoch int64, since time.Duration, ok bool)
 
 // Owner keeps the buckets of the teams whose budgets this process owns. Make
 // it with NewOwner.
@@ -49,7 +49,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock.Now()
-	epoch, ok := o.tenure(q.Team)
+	epoch, since, ok := o.tenure(q.Team)
 	if !ok {
 		delete(o.buckets, q.Team)
 		return &wire.BudgetReply{}
@@ -58,7 +58,7 @@
 	if !ok {
 		return &wire.BudgetReply{Owner: true, Epoch: epoch, RetryMs: headTime.Milliseconds()}
 	}
-	b := o.bucket(now, team, epoch)
+	b := o.bucket(now, team, epoch, since)
 	for _, f := range q.Refunds {
 		if f.Epoch == epoch {
 			b.Refund(now, f.Grant, f.Amount)
@@ -67,11 +67,11 @@
 	return b.answer(now, q)
 }
 
-// bucket returns the team's bucket, empty if the epoch is new.
-func (o *Owner) bucket(now time.Duration, t radishspoke.Team, epoch int64) *ownedBucket {
+// bucket returns the team's bucket, which was empty when the epoch began.
+func (o *Owner) bucket(now time.Duration, t radishspoke.Team, epoch int64, since time.Duration) *ownedBucket {
 	b, ok := o.buckets[t.Name]
 	if !ok || b.epoch != epoch {
-		b = &ownedBucket{Bucket: NewBucket(now, t.Rate, t.Burst, Validity), epoch: epoch, rate: t.Rate, burst: t.Burst}
+		b = &ownedBucket{Bucket: NewBucket(since, t.Rate, t.Burst, Validity), epoch: epoch, rate: t.Rate, burst: t.Burst}
 		o.buckets[t.Name] = b
 	}
 	if b.rate != t.Rate || b.burst != t.Burst {
--- a/coordination/voter/campaign.go
+++ b/coordination/voter/campaign.go
@@ -11,6 +11,9 @@
 func (v *Voter) Step(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, v.settings.Lease/renewals)
 	defer cancel()
+	if t := v.surplus(); t != nil {
+		v.collect(ctx, v.Set(), []*wire.Tenure{t}, true)
+	}
 	set, asked := v.plan()
 	if len(asked) == 0 {
 		return
@@ -48,7 +51,7 @@
 // turn returns when this process may ask for a right: once its own grant has
 // lapsed, and later the lower it ranks.
 func (v *Voter) turn(right string) time.Duration {
-	at := v.abstain
+	at := max(v.abstain, v.quiet)
 	if g, ok := v.grants[right]; ok && g.until > at {
 		at = g.until
 	}
@@ -74,6 +77,8 @@
 			r, err := v.ask(ctx, m, q)
 			if err != nil {
 				r = nil
+			} else {
+				v.hear(m)
 			}
 			replies <- r
 		}()
@@ -120,10 +125,13 @@
 			}
 			continue
 		}
-		if !old {
+		since := now
+		if old {
+			since = h.since
+		} else {
 			v.log.Info("right taken", "right", t.Right, "tenure", t.Id)
 		}
-		v.held[t.Right] = &tenure{id: t.Id, until: sent + v.settings.Lease - v.settings.Margin}
+		v.held[t.Right] = &tenure{id: t.Id, since: since, until: sent + v.settings.Lease - v.settings.Margin}
 	}
 	return lost
 }
@@ -143,3 +151,39 @@
 		v.collect(ctx, set, asked, true)
 	}
 }
+
+func (v *Voter) hear(member string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.heard[member] = v.clock.Now()
+}
+
+// surplus gives up one right, if this process holds more than its part and a
+// member that ranks first for it answers. It returns the tenure to give back,
+// or nil.
+func (v *Voter) surplus() *wire.Tenure {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	var mine []string
+	for _, n := range v.settings.Rights {
+		if _, ok := v.holds(n); ok {
+			mine = append(mine, n)
+		}
+	}
+	if len(v.set.Members) == 0 || len(mine) <= (len(v.settings.Rights)+len(v.set.Members)-1)/len(v.set.Members) {
+		return nil
+	}
+	for _, n := range mine {
+		first := v.rank(n, v.set.Members)[0]
+		at, ok := v.heard[first]
+		if first == v.settings.Name || !ok || now-at > v.settings.Lease || now < v.quiet+v.settings.Lease {
+			continue
+		}
+		t := &wire.Tenure{Right: n, Id: v.held[n].id}
+		delete(v.held, n)
+		v.log.Info("right given up", "right", n, "to", first)
+		return t
+	}
+	return nil
+}
--- a/coordination/voter/voter.go
+++ b/coordination/voter/voter.go
@@ -88,6 +88,8 @@
 	set     Set
 	known   bool // a set, or that there is none, has been read
 	abstain time.Duration
+	quiet   time.Duration // before which nothing is asked for
+	heard   map[string]time.Duration
 	grants  map[string]*grant
 	held    map[string]*tenure
 	leaving bool
@@ -103,6 +105,7 @@
 // tenure is a right that this process holds, or held.
 type tenure struct {
 	id    int64
+	since time.Duration
 	until time.Duration
 }
 
@@ -111,7 +114,7 @@
 	s.fill()
 	return &Voter{
 		settings: s, clock: c, ask: a, rank: r, random: random, log: log,
-		grants: map[string]*grant{}, held: map[string]*tenure{},
+		heard: map[string]time.Duration{}, grants: map[string]*grant{}, held: map[string]*tenure{},
 	}
 }
 
@@ -132,6 +135,8 @@
 // SetMembers takes the set as just read from the table; the zero Set means
 // that there is none yet. A process that finds itself in the first set it
 // reads may have voted before it was restarted, so it abstains for a lease.
+// One that joins a set later asks for nothing for a lease, as it can't know
+// what is held.
 func (v *Voter) SetMembers(s Set) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -141,9 +146,15 @@
 	if !v.known && s.Has(v.settings.Name) {
 		v.abstain = v.clock.Now() + v.settings.Lease + v.settings.Margin
 	}
+	if s.Version > firstVersion && s.Has(v.settings.Name) && !v.set.Has(v.settings.Name) {
+		v.quiet = v.clock.Now() + v.settings.Lease + v.settings.Margin
+	}
 	v.known, v.set = true, s
 }
 
+// firstVersion is that of the first set there ever is, of one member.
+const firstVersion = 1
+
 // Set returns the set in use.
 func (v *Voter) Set() Set {
 	v.mu.Lock()
@@ -167,6 +178,17 @@
 	return t.id, true
 }
 
+// Since returns when the present tenure of a right began. Every earlier tenure
+// of it, at any process, had ended by then.
+func (v *Voter) Since(right string) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if t, ok := v.held[right]; ok {
+		return t.since
+	}
+	return v.clock.Now()
+}
+
 // Held returns the rights that this process holds.
 func (v *Voter) Held() []string {
 	v.mu.Lock()
--- /dev/null
+++ b/coordination/voter/voter_test.go
@@ -0,0 +1,181 @@
+package voter_test
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"radishspoke/coordination/voter"
+	"radishspoke/protocol/wire"
+)
+
+var errCut = errors.New("cut off")
+
+// fleet is a number of voters on one clock, with links that can be cut, and a
+// table that holds their set.
+type fleet struct {
+	now     time.Duration
+	voters  map[string]*voter.Voter
+	cut     map[[2]string]bool
+	offline map[string]bool // cut off from the table
+	set     voter.Set
+	random  *rand.Rand
+}
+
+func (f *fleet) Now() time.Duration { return f.now }
+
+func rank(right string, members []string) []string {
+	out := append([]string(nil), members...)
+	sort.Strings(out)
+	if len(out) > 0 && right == "odd" {
+		out = append(out[1:], out[0])
+	}
+	return out
+}
+
+// start makes a voter anew, as a restarted process would.
+func (f *fleet) start(name string) {
+	ask := func(_ context.Context, to string, q *wire.Vote) (*wire.VoteReply, error) {
+		v, ok := f.voters[to]
+		if !ok || f.cut[[2]string{name, to}] {
+			return nil, errCut
+		}
+		r := v.Handle(q)
+		if f.cut[[2]string{to, name}] {
+			return nil, errCut // the vote is cast, its answer lost
+		}
+		return r, nil
+	}
+	s := voter.Settings{Name: name, Rights: []string{"even", "odd"}}
+	f.voters[name] = voter.New(s, f, ask, rank, f.random, slog.New(slog.DiscardHandler))
+	f.read(name)
+}
+
+func (f *fleet) read(name string) {
+	if v, ok := f.voters[name]; ok && !f.offline[name] {
+		v.SetMembers(f.set)
+	}
+}
+
+// keep changes the set as the keeper would.
+func (f *fleet) keep(live []string) {
+	versions := map[string]int64{}
+	for n, v := range f.voters {
+		versions[n] = v.Set().Version
+	}
+	if next, ok := voter.Next(f.set, live, versions); ok {
+		next.Version = f.set.Version + 1
+		f.set = next
+	}
+}
+
+// TestOneHolder runs random schedules of cuts, restarts, changes of the set
+// and time. No right may ever have two holders at one moment.
+func TestOneHolder(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	rapid.Check(t, func(r *rapid.T) {
+		f := &fleet{
+			now: time.Hour, voters: map[string]*voter.Voter{}, cut: map[[2]string]bool{}, offline: map[string]bool{},
+			random: rand.New(rand.NewPCG(rapid.Uint64().Draw(r, "seed"), 0)),
+		}
+		for _, n := range names[:3] {
+			f.start(n)
+		}
+		name := rapid.SampledFrom(names)
+		held := 0
+		r.Repeat(map[string]func(*rapid.T){
+			"step": func(r *rapid.T) {
+				if v, ok := f.voters[name.Draw(r, "name")]; ok {
+					v.Step(context.Background())
+				}
+			},
+			"step all": func(*rapid.T) {
+				for _, n := range names {
+					if v, ok := f.voters[n]; ok {
+						f.read(n)
+						v.Step(context.Background())
+					}
+				}
+			},
+			"wait": func(r *rapid.T) {
+				f.now += time.Duration(rapid.IntRange(1, 3000).Draw(r, "ms")) * time.Millisecond
+			},
+			"cut": func(r *rapid.T) {
+				f.cut[[2]string{name.Draw(r, "from"), name.Draw(r, "to")}] = true
+			},
+			"heal":    func(*rapid.T) { f.cut = map[[2]string]bool{}; f.offline = map[string]bool{} },
+			"offline": func(r *rapid.T) { f.offline[name.Draw(r, "name")] = true },
+			"restart": func(r *rapid.T) { f.start(name.Draw(r, "name")) },
+			"kill":    func(r *rapid.T) { delete(f.voters, name.Draw(r, "name")) },
+			"read":    func(r *rapid.T) { f.read(name.Draw(r, "name")) },
+			"keep": func(*rapid.T) {
+				var live []string
+				for _, n := range names {
+					if _, ok := f.voters[n]; ok {
+						live = append(live, n)
+					}
+				}
+				f.keep(live)
+			},
+			"": func(r *rapid.T) {
+				for _, right := range []string{"even", "odd"} {
+					holders := 0
+					for _, v := range f.voters {
+						if _, ok := v.Holds(right); ok {
+							holders++
+						}
+					}
+					if holders > 1 {
+						r.Fatalf("right %s has %d holders", right, holders)
+					}
+					held += holders
+				}
+			},
+		})
+		_ = held
+	})
+}
+
+// TestHandOver kills a holder while the table is out of reach, and measures
+// how long its rights are without one.
+func TestHandOver(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{
+		now: time.Hour, voters: map[string]*voter.Voter{}, cut: map[[2]string]bool{}, offline: map[string]bool{},
+		random: rand.New(rand.NewPCG(1, 0)),
+	}
+	f.set = voter.Set{Version: 1, Members: []string{"a", "b", "c"}}
+	for _, n := range []string{"a", "b", "c"} {
+		f.start(n)
+	}
+	steps := func(d time.Duration) {
+		for end := f.now + d; f.now < end; f.now += time.Second {
+			for _, n := range []string{"a", "b", "c"} {
+				if v, ok := f.voters[n]; ok {
+					v.Step(context.Background())
+				}
+			}
+		}
+	}
+	steps(30 * time.Second)
+	_, ok := f.voters["a"].Holds("even")
+	c.Assert(ok, qt.IsTrue)
+	delete(f.voters, "a")
+	f.offline = map[string]bool{"b": true, "c": true}
+	killed := f.now
+	for f.now < killed+time.Minute {
+		steps(time.Second)
+		if _, ok := f.voters["b"].Holds("even"); ok {
+			break
+		}
+	}
+	c.Logf("without a holder for %v", f.now-killed)
+	c.Assert(f.now-killed <= 7*time.Second, qt.IsTrue)
+}
--- a/internal/assembler/authority.go
+++ b/internal/assembler/authority.go
@@ -50,7 +50,11 @@
 }
 
 // tenure tells whether this entry owns a team's budget.
-func (e *Entry) tenure(team string) (int64, bool) { return e.voter.Holds(shardOf(team)) }
+func (e *Entry) tenure(team string) (id int64, since time.Duration, ok bool) {
+	right := shardOf(team)
+	id, ok = e.voter.Holds(right)
+	return id, e.voter.Since(right), ok
+}
 
 func (e *Entry) handleBudget(_ context.Context, q *wire.Budget) (*wire.BudgetReply, error) {
 	r := e.owner.Handle(q)
@@ -62,7 +66,7 @@
 
 // askBudget asks the entry that owns a team's budget. Any voter knows it.
 func (e *Entry) askBudget(ctx context.Context, q *wire.Budget) (*wire.BudgetReply, error) {
-	if _, ok := e.tenure(q.Team); ok {
+	if _, _, ok := e.tenure(q.Team); ok {
 		return e.owner.Handle(q), nil
 	}
 	shard := shardOf(q.Team)
@@ -118,7 +122,7 @@
 const (
 	keeperLease    = "keeper"
 	votersKey      = "voters"
-	keeperInterval = 2 * time.Second
+	keeperInterval = time.Second
 )
 
 // wantedLeases returns the store's leases that this entry should hold.
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -107,9 +107,12 @@
 	e.recorder.Gauge("requests_running", func() float64 { n, _ := e.dispatcher.Running(); return float64(n) })
 	e.recorder.Gauge("requests_waiting", func() float64 { _, n := e.dispatcher.Running(); return float64(n) })
 	e.recorder.Gauge("config_version", func() float64 { return float64(e.watcher.Version()) })
-	e.run(func(ctx context.Context) { e.announceLoop(ctx, e.announce(tracker.EntryKind, false)) })
-	e.run(func(ctx context.Context) { e.tracker.Run(ctx, e.random(trackDuty)) })
-	e.run(func(ctx context.Context) { e.elector.Run(ctx, e.timers) })
+	e.run(func(ctx context.Context) {
+		e.announceLoop(ctx, e.announce(tracker.EntryKind, false))
+		e.run(func(ctx context.Context) { e.tracker.Run(ctx, e.random(trackDuty)) })
+		e.firstPoll(ctx)
+		e.elector.Run(ctx, e.timers)
+	})
 	e.run(func(ctx context.Context) { e.voter.Run(ctx, e.timers) })
 	e.run(e.keeperLoop)
 	e.run(e.pollLoop)
@@ -117,6 +120,14 @@
 	return nil
 }
 
+// firstPoll reads the list of members, so that the elector knows at its first
+// step which leases are this entry's to take.
+func (e *Entry) firstPoll(ctx context.Context) {
+	if err := e.tracker.Poll(ctx); err != nil && ctx.Err() == nil {
+		e.log.Warn("list of members not read", "error", err)
+	}
+}
+
 // configure puts a new configuration in force.
 func (e *Entry) configure(c *radishspoke.Configuration) {
 	e.mu.Lock()
--- a/state/parser/source.go
+++ b/state/parser/source.go
@@ -60,7 +60,7 @@
 		keys:     map[string]map[string]int{"": {}},
 	}
 	s.index(string(data))
-	f, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true, IgnoreContinuation: true}, data)
+	f, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true, IgnoreContinuation: true, SkipUnrecognizableLines: true}, data)
 	if err != nil {
 		if len(s.faults) == 0 {
 			s.fault(1, "", "", err.Error())
--- a/transport/gateway/call.go
+++ b/transport/gateway/call.go
@@ -33,6 +33,7 @@
 	body := http.MaxBytesReader(w, r.Body, g.settings.MaxBody)
 	start, err := io.ReadAll(io.LimitReader(body, replayLimit))
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		writeFailure(w, q.ID, badRequest(http.StatusBadRequest, "body_not_read", "body", "was not received whole: "+err.Error()))
 		return
 	}
--- a/transport/gateway/completion.go
+++ b/transport/gateway/completion.go
@@ -136,19 +136,22 @@
 	return err.Error()
 }
 
-// readBody reads a body within the bounds on its length and time.
+// readBody reads a body within the bounds on its length and time. When it
+// fails, the read deadline stays in place: the server would otherwise wait for
+// the rest of the body before it answers.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *radishspoke.Failure) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(g.settings.BodyTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.settings.MaxBody))
 	var long *http.MaxBytesError
 	switch {
 	case err == nil:
+		_ = control.SetReadDeadline(time.Time{})
 		return data, nil
 	case errors.As(err, &long):
 		return nil, badRequest(http.StatusRequestEntityTooLarge, "body_too_long", "body", fmt.Sprintf("is longer than %d bytes", g.settings.MaxBody))
 	}
+	w.Header().Set("Connection", "close")
 	return nil, badRequest(http.StatusRequestTimeout, "body_not_read", "body", "was not received whole: "+err.Error())
 }
 
