Break mechanisms on purpose to test the tests that guard them

Cause: the tests of answers, effects, limits, keys and rights had passed from the start; nothing showed that they can fail.

--- a/coordination/dispatcher/attempt.go
+++ b/coordination/dispatcher/attempt.go
@@ -13,6 +13,7 @@
 	"radishspoke"
 	"radishspoke/coordination/executor"
 	"radishspoke/coordination/router"
+	"radishspoke/internal/breaker"
 	"radishspoke/protocol/wire"
 	"radishspoke/transport/connector"
 )
@@ -160,7 +161,7 @@
 func (j *job) execute(entry string, incarnation uint64, attach bool) *wire.Execute {
 	r := j.request
 	q := &wire.Execute{
-		Entry: entry, RequestId: j.executeID, Attempt: j.attempt, Offset: j.position, Team: r.Team, Idempotent: r.Route.Idempotent,
+		Entry: entry, RequestId: j.executeID, Attempt: j.attempt, Offset: j.offset(), Team: r.Team, Idempotent: r.Route.Idempotent,
 		RemainingMs: time.Until(r.Deadline).Milliseconds(), Attach: attach, Incarnation: incarnation,
 	}
 	if g := r.Generation; g != nil {
@@ -175,6 +176,14 @@
 	return q
 }
 
+// offset is where the answer is to go on.
+func (j *job) offset() uint64 {
+	if breaker.Is(breaker.Offsets) {
+		return 0
+	}
+	return j.position
+}
+
 const uploadBuffer = 32 << 10 // bytes
 
 // upload sends the request's body to the sidecar.
@@ -200,6 +209,9 @@
 	for {
 		f.Reset()
 		if err := s.Read(f); err != nil {
+			if breaker.Is(breaker.Ends) {
+				return j.finish(&wire.End{})
+			}
 			return fmt.Errorf("%w: %s", errLost, err.Error())
 		}
 		if f.RequestId != j.executeID || f.Attempt != attempt {
@@ -240,6 +252,9 @@
 		return fmt.Errorf("%w: frame at %d, answer at %d", errLost, f.Offset, j.position)
 	}
 	skip := j.position - f.Offset
+	if breaker.Is(breaker.Offsets) {
+		skip = 0
+	}
 	if n := uint64(len(f.Tokens)); n > skip {
 		if err := j.sink.Tokens(f.Tokens[skip:]); err != nil {
 			return fmt.Errorf("%w: %s", errSink, err.Error())
--- a/coordination/dispatcher/claim.go
+++ b/coordination/dispatcher/claim.go
@@ -11,6 +11,7 @@
 
 	"radishspoke"
 	"radishspoke/coordination/claimer"
+	"radishspoke/internal/breaker"
 )
 
 // errClaimed says that another request with the same idempotency key is to be
@@ -23,7 +24,7 @@
 // claim writes down where a request with an idempotency key will run, before
 // it is sent there.
 func (d *Dispatcher) claim(ctx context.Context, j *job, t radishspoke.Target, incarnation uint64) error {
-	if j.request.Claim == nil {
+	if j.request.Claim == nil || breaker.Is(breaker.Claims) {
 		return nil
 	}
 	r := claimer.Row{
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"radishspoke"
+	"radishspoke/internal/breaker"
 	"radishspoke/protocol/encoder"
 	"radishspoke/protocol/wire"
 )
@@ -257,10 +258,10 @@
 func (x *Executor) admit(q *wire.Execute) (*record, *bodyPipe, *wire.Failure) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if r, ok := x.records[q.RequestId]; ok {
+	if r, ok := x.records[q.RequestId]; ok && !breaker.Is(breaker.Records) {
 		return r, nil, nil
 	}
-	restarted := q.Incarnation != 0 && q.Incarnation != x.settings.Incarnation
+	restarted := q.Incarnation != 0 && q.Incarnation != x.settings.Incarnation && !breaker.Is(breaker.Incarnations)
 	if q.Attach && restarted {
 		return nil, nil, &wire.Failure{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: "the sidecar was restarted", Elsewhere: true}
 	}
@@ -307,7 +308,7 @@
 
 // refuse leaves a record that keeps the id from ever running here.
 func (x *Executor) refuse(id, reason string) {
-	if len(x.records) >= x.settings.MaxRecords {
+	if len(x.records) >= x.settings.MaxRecords || breaker.Is(breaker.Tombstones) {
 		return
 	}
 	r := newRecord(id, false, true, 0)
--- a/coordination/limiter/bucket.go
+++ b/coordination/limiter/bucket.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"radishspoke/internal/breaker"
 )
 
 // Bucket is a token bucket that takes refunds without ever allowing more than
@@ -82,7 +84,11 @@
 	g := &b.open[i]
 	amount = min(amount, g.left)
 	g.left -= amount
-	b.deficit -= max(0, min(amount, g.least, b.deficit))
+	back := min(amount, g.least, b.deficit)
+	if breaker.Is(breaker.Refunds) {
+		back = amount
+	}
+	b.deficit -= max(0, back)
 	for j := range b.open {
 		b.open[j].least = max(0, b.open[j].least-amount)
 	}
--- /dev/null
+++ b/coordination/limiter/limiter_test.go
@@ -0,0 +1,128 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"radishspoke/coordination/limiter"
+)
+
+const (
+	testRate  = 100.0
+	testBurst = 400.0
+)
+
+// spender is an entry that asks, charges, settles and gives back.
+type spender struct {
+	purse    limiter.Purse
+	receipts []limiter.Receipt
+	costs    []float64
+}
+
+// model is one team's owner and the entries that spend, on one clock. Messages
+// may be late or lost, and the owner may be replaced.
+type model struct {
+	now      time.Duration
+	bucket   *limiter.Bucket
+	epoch    int64
+	spenders [3]spender
+	charges  []limiter.Charge
+}
+
+func (m *model) grant(s *spender, amount float64, late time.Duration) {
+	asked := m.now
+	amount = min(amount, m.bucket.Level(m.now))
+	if amount <= 0 {
+		return
+	}
+	id := m.bucket.Grant(m.now, amount)
+	if late < 0 {
+		return // the answer is lost
+	}
+	m.now += late
+	s.purse.Add(limiter.Grant{Epoch: m.epoch, ID: id, Amount: amount, Expires: asked + limiter.Validity})
+}
+
+func (m *model) charge(s *spender, cost float64) {
+	if r, ok := s.purse.Charge(m.now, cost); ok {
+		s.receipts = append(s.receipts, r)
+		s.costs = append(s.costs, cost)
+		m.charges = append(m.charges, limiter.Charge{At: r.At, Amount: cost})
+	}
+}
+
+// settle ends one charge at a part of its cost.
+func (m *model) settle(s *spender, part float64) {
+	if len(s.receipts) == 0 {
+		return
+	}
+	r, cost := s.receipts[0], s.costs[0]
+	s.receipts, s.costs = s.receipts[1:], s.costs[1:]
+	used := cost * part
+	for i := range m.charges {
+		if m.charges[i].At == r.At && m.charges[i].Amount == cost {
+			m.charges[i].Amount = used
+			break
+		}
+	}
+	m.refund(r.Settle(used))
+}
+
+func (m *model) refund(parts []limiter.Part) {
+	for _, p := range parts {
+		if p.Epoch == m.epoch {
+			m.bucket.Refund(m.now, p.Grant, p.Amount)
+		}
+	}
+}
+
+// checkLimit runs random schedules and returns the worst excess over burst +
+// rate*t that any had at any point.
+func checkLimit(t rapid.TB, r *rapid.T) {
+	m := &model{now: time.Hour, epoch: 1}
+	m.bucket = limiter.NewBucket(m.now, testRate, testBurst, limiter.Validity)
+	spender := rapid.IntRange(0, len(m.spenders)-1)
+	amount := rapid.Float64Range(1, testBurst)
+	r.Repeat(map[string]func(*rapid.T){
+		"wait": func(r *rapid.T) { m.now += time.Duration(rapid.IntRange(1, 4000).Draw(r, "ms")) * time.Millisecond },
+		"ask": func(r *rapid.T) {
+			late := time.Duration(rapid.IntRange(-50, 700).Draw(r, "late")) * time.Millisecond
+			m.grant(&m.spenders[spender.Draw(r, "spender")], amount.Draw(r, "amount"), late)
+		},
+		"ask and charge": func(r *rapid.T) {
+			s, a := &m.spenders[spender.Draw(r, "spender")], amount.Draw(r, "amount")
+			m.grant(s, a, 0)
+			m.charge(s, min(a, s.purse.Left(m.now)))
+		},
+		"charge": func(r *rapid.T) { m.charge(&m.spenders[spender.Draw(r, "spender")], amount.Draw(r, "amount")) },
+		"settle": func(r *rapid.T) {
+			m.settle(&m.spenders[spender.Draw(r, "spender")], rapid.Float64Range(0, 1).Draw(r, "part"))
+		},
+		"expire": func(r *rapid.T) { m.refund(m.spenders[spender.Draw(r, "spender")].purse.Expire(m.now)) },
+		"new owner": func(*rapid.T) {
+			m.epoch++
+			m.bucket = limiter.NewBucket(m.now, testRate, testBurst, limiter.Validity)
+		},
+		"": func(*rapid.T) {
+			if x := limiter.Excess(m.charges, testRate, testBurst); x > 0 {
+				t.Fatalf("charges exceed burst + rate*t by %.3f tokens", x)
+			}
+		},
+	})
+}
+
+func TestLimitHolds(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) { checkLimit(r, r) })
+}
+
+func BenchmarkBucket(b *testing.B) {
+	k := limiter.NewBucket(0, 1e6, 1e6, limiter.Validity)
+	now := time.Duration(0)
+	for b.Loop() {
+		now += time.Millisecond
+		id := k.Grant(now, 100)
+		k.Refund(now, id, 50)
+	}
+}
--- a/coordination/limiter/purse.go
+++ b/coordination/limiter/purse.go
@@ -1,6 +1,10 @@
 package limiter
 
-import "time"
+import (
+	"time"
+
+	"radishspoke/internal/breaker"
+)
 
 // Grant is an amount that an entry may charge until it expires.
 type Grant struct {
@@ -36,7 +40,7 @@
 func (p *Purse) Left(now time.Duration) float64 {
 	sum := 0.0
 	for _, g := range p.grants {
-		if now < g.Expires {
+		if now < g.Expires || breaker.Is(breaker.Validity) {
 			sum += g.Amount
 		}
 	}
@@ -51,7 +55,7 @@
 	out := Receipt{At: now}
 	for i := range p.grants {
 		g := &p.grants[i]
-		if now >= g.Expires || g.Amount == 0 {
+		if now >= g.Expires && !breaker.Is(breaker.Validity) || g.Amount == 0 {
 			continue
 		}
 		part := min(g.Amount, amount)
@@ -71,7 +75,7 @@
 	var out []Part
 	kept := p.grants[:0]
 	for _, g := range p.grants {
-		if now < g.Expires && g.Amount > 0 {
+		if (now < g.Expires || breaker.Is(breaker.Validity)) && g.Amount > 0 {
 			kept = append(kept, g)
 			continue
 		}
--- a/coordination/voter/campaign.go
+++ b/coordination/voter/campaign.go
@@ -64,7 +64,7 @@
 }
 
 // collect puts one question to every member, and returns how many granted
-// each tenure. It returns as soon as the outcome is known or ctx ends.
+// each tenure. It waits for all of them, or until ctx ends.
 func (v *Voter) collect(ctx context.Context, set Set, asked []*wire.Tenure, release bool) []int {
 	q := &wire.Vote{Process: v.settings.Name, SetVersion: set.Version, Tenures: asked, Release: release}
 	replies := make(chan *wire.VoteReply, len(set.Members))
@@ -89,15 +89,10 @@
 		if r == nil || len(r.Granted) != len(asked) {
 			continue
 		}
-		done := true
 		for i, ok := range r.Granted {
 			if ok {
 				granted[i]++
 			}
-			done = done && granted[i] >= set.Majority()
-		}
-		if done {
-			break
 		}
 	}
 	return granted
--- a/coordination/voter/voter.go
+++ b/coordination/voter/voter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"radishspoke"
+	"radishspoke/internal/breaker"
 	"radishspoke/protocol/wire"
 )
 
@@ -239,7 +240,7 @@
 		}
 		return same
 	}
-	if now < v.abstain || ok && !same && now < g.until {
+	if !breaker.Is(breaker.Votes) && (now < v.abstain || ok && !same && now < g.until) {
 		return false
 	}
 	v.grants[t.Right] = &grant{holder: process, id: t.Id, until: now + v.settings.Lease}
--- a/coordination/voter/voter_test.go
+++ b/coordination/voter/voter_test.go
@@ -76,11 +76,15 @@
 	}
 }
 
-// TestOneHolder runs random schedules of cuts, restarts, changes of the set
-// and time. No right may ever have two holders at one moment.
 func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) { checkOneHolder(r, r) })
+}
+
+// checkOneHolder runs a random schedule of cuts, restarts, changes of the set
+// and time. No right may ever have two holders at one moment.
+func checkOneHolder(t rapid.TB, r *rapid.T) {
 	names := []string{"a", "b", "c", "d", "e"}
-	rapid.Check(t, func(r *rapid.T) {
+	{
 		f := &fleet{
 			now: time.Hour, voters: map[string]*voter.Voter{}, cut: map[[2]string]bool{}, offline: map[string]bool{},
 			random: rand.New(rand.NewPCG(rapid.Uint64().Draw(r, "seed"), 0)),
@@ -89,7 +93,6 @@
 			f.start(n)
 		}
 		name := rapid.SampledFrom(names)
-		held := 0
 		r.Repeat(map[string]func(*rapid.T){
 			"step": func(r *rapid.T) {
 				if v, ok := f.voters[name.Draw(r, "name")]; ok {
@@ -124,7 +127,7 @@
 				}
 				f.keep(live)
 			},
-			"": func(r *rapid.T) {
+			"": func(*rapid.T) {
 				for _, right := range []string{"even", "odd"} {
 					holders := 0
 					for _, v := range f.voters {
@@ -133,14 +136,12 @@
 						}
 					}
 					if holders > 1 {
-						r.Fatalf("right %s has %d holders", right, holders)
+						t.Fatalf("right %s has %d holders", right, holders)
 					}
-					held += holders
 				}
 			},
 		})
-		_ = held
-	})
+	}
 }
 
 // TestHandOver kills a holder while the table is out of reach, and measures
@@ -172,7 +173,9 @@
 	killed := f.now
 	for f.now < killed+time.Minute {
 		steps(time.Second)
-		if _, ok := f.voters["b"].Holds("even"); ok {
+		_, b := f.voters["b"].Holds("even")
+		_, c := f.voters["c"].Holds("even")
+		if b || c {
 			break
 		}
 	}
--- a/coordination/voucher/voucher.go
+++ b/coordination/voucher/voucher.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"radishspoke"
+
+	"radishspoke/internal/breaker"
 )
 
 // Bound is how long a process goes on without proof that its configuration is
@@ -59,7 +61,7 @@
 	if version == 0 {
 		return false
 	}
-	if age <= Bound {
+	if age <= Bound || breaker.Is(breaker.Standing) {
 		return true
 	}
 	v.mu.Lock()
--- a/internal/assembler/answers_test.go
+++ b/internal/assembler/answers_test.go
@@ -14,7 +14,6 @@
 // TestWholeAnswers breaks something in the middle of a streamed answer. The
 // caller must get every token once and in order.
 func TestWholeAnswers(t *testing.T) {
-	const prompt, most, middle = "Is the hall free on Friday?", 400, 100
 	faults := []struct {
 		name  string
 		fault func(b *bed, target string)
@@ -32,22 +31,27 @@
 	}
 	for _, f := range faults {
 		t.Run(f.name, func(t *testing.T) {
-			inBubble(t, nil, func(b *bed) {
-				struck := false
-				q := b.request(0, http.MethodPost, "/v1/chat/completions", "big", chatBody(prompt, most), nil)
-				r := b.read(q, func(tokens int) {
-					if tokens >= middle && !struck {
-						struck = true
-						f.fault(b, b.busyEngine())
-					}
-				})
-				b.Assert(struck, qt.IsTrue)
-				b.mustBeWhole(r, prompt, most)
-			})
+			inBubble(t, nil, func(b *bed) { b.breakAnswer(f.fault) })
 		})
 	}
 }
 
+// breakAnswer asks for an answer and breaks something in the middle of it.
+func (b *bed) breakAnswer(fault func(b *bed, target string)) {
+	b.Helper()
+	const prompt, most, middle = "Is the hall free on Friday?", 400, 100
+	struck := false
+	q := b.request(0, http.MethodPost, "/v1/chat/completions", "big", chatBody(prompt, most), nil)
+	r := b.read(q, func(tokens int) {
+		if tokens >= middle && !struck {
+			struck = true
+			fault(b, b.busyEngine())
+		}
+	})
+	b.Assert(struck, qt.IsTrue)
+	b.mustBeWhole(r, prompt, most)
+}
+
 // busyEngine returns the engine that runs the only request.
 func (b *bed) busyEngine() string {
 	for name, e := range b.Engines {
--- a/internal/assembler/authority.go
+++ b/internal/assembler/authority.go
@@ -12,6 +12,7 @@
 
 	"radishspoke"
 	"radishspoke/coordination/voter"
+	"radishspoke/internal/breaker"
 	"radishspoke/protocol/encoder"
 	"radishspoke/protocol/wire"
 	"radishspoke/state/tracker"
@@ -51,6 +52,9 @@
 
 // tenure tells whether this entry owns a team's budget.
 func (e *Entry) tenure(team string) (id int64, since time.Duration, ok bool) {
+	if breaker.Is(breaker.Tenures) {
+		return 1, e.env.Clock.Now() - time.Minute, true
+	}
 	right := shardOf(team)
 	id, ok = e.voter.Holds(right)
 	return id, e.voter.Since(right), ok
--- a/internal/assembler/authority_test.go
+++ b/internal/assembler/authority_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -91,28 +90,34 @@
 	}
 	for name, strike := range strikes {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, func(s *DevSettings) { s.Entries = 3 }, func(b *bed) {
-				time.Sleep(settleTime)
-				j := b.journal()
-				var group sync.WaitGroup
-				for i := range 120 {
-					if i == 40 {
-						strike(b)
-					}
-					group.Add(1)
-					go func() {
-						defer group.Done()
-						b.costly(i%len(b.Entries), i)
-					}()
-					time.Sleep(280 * time.Millisecond) // five times the rate
-				}
-				group.Wait()
-				j.check(b.C)
-			})
+			inBubble(t, func(s *DevSettings) { s.Entries = 3 }, func(b *bed) { b.overload(strike) })
 		})
 	}
 }
 
+// overload sends five times the small team's rate through every entry, and
+// breaks something meanwhile.
+func (b *bed) overload(strike func(b *bed)) {
+	b.Helper()
+	time.Sleep(settleTime)
+	j := b.journal()
+	var group sync.WaitGroup
+	for i := range 120 {
+		if i == 40 {
+			strike(b)
+		}
+		entry := i % len(b.Entries)
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			b.costly(entry, i)
+		}()
+		time.Sleep(280 * time.Millisecond)
+	}
+	group.Wait()
+	j.check(b.C)
+}
+
 // journal records every charge at every entry.
 type journal struct {
 	mu      sync.Mutex
@@ -218,27 +223,39 @@
 // store and its peers.
 func TestWithdrawnKey(t *testing.T) {
 	cuts := map[string]func(b *bed){
+		"from all":              cutFromAll,
 		"none":                  func(*bed) {},
 		"from the store":        func(b *bed) { b.network.Isolate("entry-1", "platform") },
 		"from the store, peers": func(b *bed) { b.network.Isolate("entry-1", "platform", "entry-2", "entry-3") },
 	}
 	for name, cut := range cuts {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, func(s *DevSettings) { s.Entries = 3 }, func(b *bed) {
-				time.Sleep(settleTime)
-				const prompt = "a verdict on a long contract"
-				running := make(chan reply)
-				go func() { running <- b.chat(0, "big", prompt, 1000) }()
-				time.Sleep(time.Second)
-				cut(b)
-				b.withdraw("big-1")
-				time.Sleep(10 * time.Second)
-				r := b.chat(0, "big", "again", 10)
-				b.Assert(r.done, qt.IsFalse)
-				b.Assert(r.status == http.StatusUnauthorized || r.status == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("status %d", r.status))
-				b.Assert(r.outcome(), qt.Equals, "not-run")
-				b.mustBeWhole(<-running, prompt, 1000)
-			})
+			inBubble(t, func(s *DevSettings) { s.Entries = 3 }, func(b *bed) { b.withdrawAndAsk(cut) })
 		})
 	}
 }
+
+// cutFromAll leaves entry 1 with its callers only.
+func cutFromAll(b *bed) {
+	b.network.Isolate("entry-1", "platform", "entry-2", "entry-3", "sidecar-e1", "sidecar-e2", "sidecar-l1", "sidecar-l2")
+}
+
+// withdrawAndAsk withdraws a key while an answer runs, and asks again with it.
+func (b *bed) withdrawAndAsk(cut func(b *bed)) {
+	b.Helper()
+	time.Sleep(settleTime)
+	const prompt = "a verdict on a long contract"
+	running := make(chan reply, 1)
+	go func() { running <- b.chat(0, "big", prompt, 1000) }()
+	time.Sleep(time.Second)
+	cut(b)
+	b.withdraw("big-1")
+	time.Sleep(10 * time.Second)
+	r := b.chat(0, "big", "again", 10)
+	b.Assert(r.done, qt.IsFalse)
+	b.Assert(r.text, qt.Matches, `(?s).*"(invalid_api_key|keys_not_checked)".*`)
+	b.Assert(r.outcome(), qt.Equals, "not-run")
+	if b.network.Connections("entry-1", "sidecar-e1") > 0 {
+		b.mustBeWhole(<-running, prompt, 1000)
+	}
+}
--- a/internal/assembler/effects_test.go
+++ b/internal/assembler/effects_test.go
@@ -124,28 +124,33 @@
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, func(s *DevSettings) { s.LedgerDelay = time.Second }, func(b *bed) {
-				const orders, copies = 10, 4
-				replies := make([]reply, orders*copies)
-				var group sync.WaitGroup
-				for i := range replies {
-					group.Add(1)
-					go func() {
-						defer group.Done()
-						time.Sleep(time.Duration(i%copies) * 300 * time.Millisecond)
-						key := map[string]string{"Idempotency-Key": orderText(i / copies)}
-						replies[i] = b.call(i%2, http.MethodPost, "/reserve", "big", orderText(i/copies), key)
-					}()
-				}
-				time.Sleep(400 * time.Millisecond)
-				fault(b)
-				group.Wait()
-				b.checkCopies(replies, copies)
-			})
+			inBubble(t, func(s *DevSettings) { s.LedgerDelay = time.Second }, func(b *bed) { b.orderCopies(fault) })
 		})
 	}
 }
 
+// orderCopies sends ten orders four times each, by both entries, and breaks
+// something meanwhile.
+func (b *bed) orderCopies(fault func(b *bed)) {
+	b.Helper()
+	const orders, copies = 10, 4
+	replies := make([]reply, orders*copies)
+	var group sync.WaitGroup
+	for i := range replies {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			time.Sleep(time.Duration(i%copies) * 300 * time.Millisecond)
+			key := map[string]string{"Idempotency-Key": orderText(i / copies)}
+			replies[i] = b.call(i%2, http.MethodPost, "/reserve", "big", orderText(i/copies), key)
+		}()
+	}
+	time.Sleep(400 * time.Millisecond)
+	fault(b)
+	group.Wait()
+	b.checkCopies(replies, copies)
+}
+
 func (b *bed) checkCopies(replies []reply, copies int) {
 	b.Helper()
 	time.Sleep(lateTime)
