--- a/coordination/limiter/limiter_test.go
+++ b/coordination/limiter/limiter_test.go
@@ -1,12 +1,15 @@
 package limiter_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"radishspoke"
 	"radishspoke/coordination/limiter"
+	"radishspoke/protocol/wire"
 )
 
 const (
@@ -126,3 +129,25 @@
 		k.Refund(now, id, 50)
 	}
 }
+
+// BenchmarkOwner measures one question to the owner of 420 teams' budgets.
+func BenchmarkOwner(b *testing.B) {
+	clock := &stepClock{}
+	o := limiter.NewOwner(clock, func(string) (int64, time.Duration, bool) { return 1, 0, true },
+		func(name string) (radishspoke.Team, bool) {
+			return radishspoke.Team{Name: name, Rate: 1e7, Burst: 1e8}, true
+		})
+	names := make([]string, 420)
+	for i := range names {
+		names[i] = fmt.Sprintf("team-%d", i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		clock.now += time.Millisecond
+		o.Handle(&wire.Budget{Process: "e", Team: names[i%len(names)], Need: 100, Want: 200})
+	}
+}
+
+type stepClock struct{ now time.Duration }
+
+func (c *stepClock) Now() time.Duration { return c.now }
--- /dev/null
+++ b/coordination/router/router_test.go
@@ -0,0 +1,106 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"radishspoke"
+	"radishspoke/coordination/router"
+)
+
+// fleet returns a router that knows n idle engines, spread over models.
+func fleet(n, models int, s router.Settings) *router.Router {
+	r := router.New(s, rand.New(rand.NewPCG(1, 2)))
+	var list []radishspoke.Target
+	for i := range n {
+		list = append(list, radishspoke.Target{
+			Name: fmt.Sprintf("e%d", i), Zone: fmt.Sprintf("z%d", i%3), Kind: radishspoke.EngineTarget,
+			Model: fmt.Sprintf("m%d", i%models), Slots: 4, Sidecar: fmt.Sprintf("s%d", i),
+		})
+	}
+	r.SetTargets(list)
+	for _, t := range list {
+		r.Observe(time.Second, radishspoke.Load{Target: t.Name, Role: radishspoke.BothRole})
+	}
+	return r
+}
+
+func TestPick(t *testing.T) {
+	const now = time.Second
+	work := router.Work{Pool: "m0", PromptTokens: 1000, OutputTokens: 100}
+	cases := []struct {
+		name    string
+		prepare func(r *router.Router)
+		work    func(w router.Work) router.Work
+		want    string // "" for none
+	}{
+		{"nearest zone", func(*router.Router) {}, nil, "e0"},
+		{"least loaded", func(r *router.Router) { r.Sent("e0", work); r.Sent("e0", work) }, nil, "e1"},
+		{"sent is forgotten with a report", func(r *router.Router) {
+			r.Sent("e0", work)
+			r.Ended(now, "e0", false)
+			r.Observe(now, radishspoke.Load{Target: "e0"})
+		}, nil, "e0"},
+		{"lost", func(r *router.Router) { r.Lost("e0") }, nil, "e1"},
+		{"draining", func(r *router.Router) { r.Observe(now, radishspoke.Load{Target: "e0", Draining: true}) }, nil, "e1"},
+		{"excluded", func(*router.Router) {}, func(w router.Work) router.Work { w.Exclude = []string{"e0"}; return w }, "e1"},
+		{"ejected", func(r *router.Router) {
+			for range 3 {
+				r.Sent("e0", router.Work{})
+				r.Ended(now, "e0", true)
+			}
+		}, nil, "e1"},
+		{"all ejected but one that is full", func(r *router.Router) {
+			for _, n := range []string{"e0", "e1"} {
+				for range 3 {
+					r.Sent(n, router.Work{})
+					r.Ended(now, n, true)
+				}
+			}
+			r.Lost("e2")
+		}, nil, "e0"},
+		{"prefix held", func(r *router.Router) {
+			r.Sent("e2", router.Work{Prefix: []uint64{7}})
+			r.Ended(now, "e2", false)
+			r.Observe(now, radishspoke.Load{Target: "e2"})
+		}, func(w router.Work) router.Work { w.PromptTokens, w.Prefix = 2500, []uint64{7}; return w }, "e2"},
+		{"all full", func(r *router.Router) {
+			for _, n := range []string{"e0", "e1", "e2"} {
+				r.Observe(now, radishspoke.Load{Target: n, Running: 5})
+			}
+		}, nil, ""},
+		{"unknown pool", func(*router.Router) {}, func(w router.Work) router.Work { w.Pool = "x"; return w }, ""},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := fleet(3, 1, router.Settings{Zone: "z0"})
+			k.prepare(r)
+			w := work
+			if k.work != nil {
+				w = k.work(w)
+			}
+			got, ok := r.Pick(now, w)
+			c.Assert(ok, qt.Equals, k.want != "")
+			c.Assert(got.Target.Name, qt.Equals, k.want)
+		})
+	}
+}
+
+// BenchmarkPick measures one decision among the targets of 24 models.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{96, 384, 830} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			r := fleet(n, 24, router.Settings{Zone: "z0"})
+			w := router.Work{Pool: "m3", PromptTokens: 6000, OutputTokens: 200, Prefix: []uint64{1, 2, 3}}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Pick(time.Second, w)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/transport/connector/connector_benchmark_test.go
@@ -0,0 +1,116 @@
+package connector_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"radishspoke"
+	"radishspoke/protocol/encoder"
+	"radishspoke/protocol/wire"
+	"radishspoke/transport"
+	"radishspoke/transport/connector"
+	"radishspoke/transport/listener"
+)
+
+// counted counts the bytes that one side sends and receives.
+type counted struct {
+	radishspoke.Network
+	bytes atomic.Int64
+}
+
+func (c *counted) Dial(ctx context.Context, address string) (net.Conn, error) {
+	n, err := c.Network.Dial(ctx, address)
+	return &countedConn{Conn: n, bytes: &c.bytes}, err
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+const (
+	benchInterval = 20 * time.Millisecond
+	benchTime     = 2 * time.Second
+)
+
+// BenchmarkSessions measures what sessions cost both of their ends together:
+// CPU time and bytes for each probe, and memory for each session.
+func BenchmarkSessions(b *testing.B) {
+	for _, n := range []int{16, 64, 256} {
+		b.Run(fmt.Sprintf("sessions=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				benchSessions(b, n)
+			}
+		})
+	}
+}
+
+func benchSessions(b *testing.B, n int) {
+	before := heap()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	network := &counted{Network: &transport.TCP{}}
+	load := &wire.Load{Target: "engine-100", Running: 12, PrefillTokens: 9000, FreeBlocks: 100, TotalBlocks: 256, Role: "both", Model: "venue-reader", Version: "2026-05"}
+	answer := func(*wire.Probe) *wire.ProbeReply {
+		return &wire.ProbeReply{Process: "sidecar-engine-100", ConfigVersion: 2100, FreshAgeMs: 500, Incarnation: 1 << 60, Load: load}
+	}
+	var addresses []string
+	for range n {
+		l, err := network.Listen("127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		s := listener.New(encoder.Methods{}, time.Second, answer, slog.New(slog.DiscardHandler))
+		go func() { _ = s.Serve(ctx, l) }()
+		defer s.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	var probes atomic.Int64
+	self := func() *wire.Probe { return &wire.Probe{Process: "entry-100", ConfigVersion: 2100, FreshAgeMs: 500} }
+	p := connector.New(network, connector.Settings{ProbeInterval: benchInterval}, self, func(connector.Reply) { probes.Add(1) })
+	defer p.Close()
+	p.Keep(addresses)
+	time.Sleep(benchTime / 2)
+	memory := heap() - before
+	cpu, sent, count := cpuTime(), network.bytes.Load(), probes.Load()
+	time.Sleep(benchTime)
+	done := float64(probes.Load() - count)
+	b.ReportMetric(float64((cpuTime()-cpu).Nanoseconds())/1000/done, "µs/probe")
+	b.ReportMetric(float64(network.bytes.Load()-sent)/done, "B/probe")
+	b.ReportMetric(memory/float64(n), "B/session")
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
+
+func cpuTime() time.Duration {
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		panic(err)
+	}
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
