Give the fake engine KV transfer and late, gappy cache events

Cause: the stand-in lacked what engines offer for moving KV and what makes their cache events hard to use.

Change: export and import of a prompt's blocks between engines, cache events with a lag and gaps, tests of these and of fenced and conflicting orders.

Conclusion: nothing uses them yet.

--- a/internal/fake/cache.go
+++ b/internal/fake/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -19,6 +20,8 @@
 	Sequence int64  `json:"sequence"`
 	Block    uint64 `json:"block"`
 	Removed  bool   `json:"removed,omitempty"`
+
+	at time.Time
 }
 
 // BlockHashes returns a hash for each whole block of a prompt. Each covers
@@ -38,6 +41,7 @@
 // prefixCache is a least-recently-used set of blocks.
 type prefixCache struct {
 	size   int
+	gap    int // one event in so many is lost, none if zero
 	order  *list.List
 	blocks map[uint64]*list.Element
 	events []CacheEvent
@@ -46,8 +50,8 @@
 
 const keptEvents = 1024
 
-func newPrefixCache(size int) *prefixCache {
-	return &prefixCache{size: size, order: list.New(), blocks: map[uint64]*list.Element{}}
+func newPrefixCache(size, gap int) *prefixCache {
+	return &prefixCache{size: size, gap: gap, order: list.New(), blocks: map[uint64]*list.Element{}}
 }
 
 // match returns how many leading blocks are cached, and marks them as used.
@@ -78,9 +82,24 @@
 	}
 }
 
+// since returns the events after a sequence number that happened before a
+// moment.
+func (c *prefixCache) since(after int64, before time.Time) []CacheEvent {
+	out := []CacheEvent{}
+	for _, e := range c.events {
+		if e.Sequence > after && !e.at.After(before) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 func (c *prefixCache) emit(block uint64, removed bool) {
 	c.next++
-	c.events = append(c.events, CacheEvent{Sequence: c.next, Block: block, Removed: removed})
+	if c.gap > 0 && c.next%int64(c.gap) == 0 {
+		return
+	}
+	c.events = append(c.events, CacheEvent{Sequence: c.next, Block: block, Removed: removed, at: time.Now()})
 	if len(c.events) > keptEvents {
 		c.events = c.events[len(c.events)-keptEvents:]
 	}
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -33,6 +33,11 @@
 	PrefillCost time.Duration
 	DecodeCost  time.Duration
 
+	// EventLag is how late cache events are shown, and EventGap, if not
+	// zero, loses one in so many.
+	EventLag time.Duration
+	EventGap int
+
 	// LoadLag is how old the load report is; RoleChange how long an order
 	// takes.
 	LoadLag    time.Duration
@@ -137,7 +142,7 @@
 	e := &Engine{
 		settings: s,
 		state:    radishspoke.EngineState{Role: s.Role, Model: s.Model, Version: s.Version},
-		cache:    newPrefixCache(s.Blocks),
+		cache:    newPrefixCache(s.Blocks, s.EventGap),
 		wake:     make(chan struct{}, 1),
 		stop:     make(chan struct{}),
 		done:     make(chan struct{}),
@@ -168,7 +173,7 @@
 		close(q.out)
 	}
 	e.sequences = nil
-	e.cache = newPrefixCache(e.settings.Blocks)
+	e.cache = newPrefixCache(e.settings.Blocks, e.settings.EventGap)
 	e.state.Changing = false
 }
 
--- /dev/null
+++ b/internal/fake/engine_test.go
@@ -0,0 +1,83 @@
+package fake_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"radishspoke"
+	"radishspoke/internal/fake"
+)
+
+func post(c *qt.C, url string, body, out any) {
+	b, err := json.Marshal(body)
+	c.Assert(err, qt.IsNil)
+	a, err := http.Post(url, "application/json", bytes.NewReader(b))
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = a.Body.Close() }()
+	c.Assert(a.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(json.NewDecoder(a.Body).Decode(out), qt.IsNil)
+}
+
+// TestKVTransfer generates at one engine and fetches the prompt's blocks from
+// it to another.
+func TestKVTransfer(t *testing.T) {
+	c := qt.New(t)
+	a, b := fake.NewEngine(fake.EngineSettings{Model: "m", StepBase: -1, PrefillCost: -1}), fake.NewEngine(fake.EngineSettings{Model: "m", EventGap: 2})
+	defer a.Close()
+	defer b.Close()
+	from, to := httptest.NewServer(a.Handler()), httptest.NewServer(b.Handler())
+	defer from.Close()
+	defer to.Close()
+	prompt := strings.Repeat("eight by", 3000) // three blocks
+	body, err := json.Marshal(fake.GenerateBody{ID: "1", Model: "m", Prompt: prompt, MaxTokens: 1})
+	c.Assert(err, qt.IsNil)
+	answer, err := http.Post(from.URL+"/v1/generate", "application/json", bytes.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	var l fake.GenerateLine
+	d := json.NewDecoder(answer.Body)
+	for !l.End {
+		c.Assert(d.Decode(&l), qt.IsNil)
+	}
+	_ = answer.Body.Close()
+	var held fake.KVBody
+	post(c, to.URL+"/v1/kv/import", fake.ImportBody{From: strings.TrimPrefix(from.URL, "http://"), Model: "m", Prompt: prompt}, &held)
+	c.Assert(held.Blocks, qt.HasLen, 3)
+	post(c, to.URL+"/v1/kv/export", fake.ImportBody{Model: "m", Prompt: prompt}, &held)
+	c.Assert(held.Blocks, qt.HasLen, 3)
+	events, err := http.Get(to.URL + "/v1/cache?after=0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = events.Body.Close() }()
+	var list []fake.CacheEvent
+	c.Assert(json.NewDecoder(events.Body).Decode(&list), qt.IsNil)
+	c.Assert(list, qt.HasLen, 2) // the second of three is lost
+	c.Assert([]int64{list[0].Sequence, list[1].Sequence}, qt.DeepEquals, []int64{1, 3})
+}
+
+// TestOrders gives a fencing engine an old order, and two at once.
+func TestOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e := fake.NewEngine(fake.EngineSettings{Model: "m", Fencing: true, RoleChange: 3 * time.Second})
+		defer e.Close()
+		ctx := context.Background()
+		done := make(chan error, 1)
+		go func() {
+			done <- e.Apply(ctx, radishspoke.Order{Epoch: 2, Sequence: 1, Model: "m", Role: radishspoke.DecodeRole})
+		}()
+		time.Sleep(time.Second)
+		c.Assert(e.Apply(ctx, radishspoke.Order{Epoch: 2, Sequence: 2, Model: "m"}), qt.ErrorIs, fake.ErrChanging)
+		c.Assert(<-done, qt.IsNil)
+		c.Assert(e.State().Role, qt.Equals, radishspoke.DecodeRole)
+		c.Assert(e.Apply(ctx, radishspoke.Order{Epoch: 1, Sequence: 9, Model: "m"}), qt.ErrorIs, radishspoke.ErrStaleOrder)
+		c.Assert(e.Counts().Conflicts, qt.Equals, 1)
+	})
+}
--- a/internal/fake/enginehttp.go
+++ b/internal/fake/enginehttp.go
@@ -1,8 +1,11 @@
 package fake
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
@@ -39,7 +42,8 @@
 	r.HandleFunc("/v1/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.State()) })
 	r.HandleFunc("/v1/orders", e.postOrder).Methods(http.MethodPost)
 	r.HandleFunc("/v1/cache", e.getCache).Methods(http.MethodGet)
-	r.HandleFunc("/v1/kv", e.postKV).Methods(http.MethodPost)
+	r.HandleFunc("/v1/kv/export", e.exportKV).Methods(http.MethodPost)
+	r.HandleFunc("/v1/kv/import", e.importKV).Methods(http.MethodPost)
 	return r
 }
 
@@ -112,24 +116,70 @@
 	}
 }
 
-func (e *Engine) getCache(w http.ResponseWriter, _ *http.Request) {
+// getCache shows the cache events after a sequence number.
+func (e *Engine) getCache(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = 0
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, e.cache.events)
+	writeJSON(w, e.cache.since(after, time.Now().Add(-e.settings.EventLag)))
 }
 
-// KVBody names blocks that are imported from another engine.
+// KVBody names the blocks of a prompt that an engine holds.
 type KVBody struct {
 	Blocks []uint64 `json:"blocks"`
 }
 
-func (e *Engine) postKV(w http.ResponseWriter, r *http.Request) {
-	var b KVBody
+// ImportBody asks an engine to fetch a prompt's blocks from another one.
+type ImportBody struct {
+	From   string `json:"from"` // IP:port
+	Model  string `json:"model"`
+	Prompt string `json:"prompt"`
+}
+
+// exportKV tells which blocks of a prompt the engine holds, from the first on.
+func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
+	var b ImportBody
 	if !decodeBody(w, r, &b) {
 		return
 	}
+	hashes := BlockHashes(b.Model, b.Prompt)
 	e.mu.Lock()
-	e.cache.add(b.Blocks)
+	n := e.cache.match(hashes)
 	e.mu.Unlock()
-	w.WriteHeader(http.StatusNoContent)
+	writeJSON(w, KVBody{Blocks: hashes[:n]})
 }
+
+// importKV fetches a prompt's blocks from another engine. It takes
+// transferTime for each.
+func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
+	var b ImportBody
+	if !decodeBody(w, r, &b) {
+		return
+	}
+	body, err := json.Marshal(b)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a, err := http.Post("http://"+b.From+"/v1/kv/export", "application/json", bytes.NewReader(body))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer func() { _ = a.Body.Close() }()
+	var held KVBody
+	if err := json.NewDecoder(a.Body).Decode(&held); err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	time.Sleep(time.Duration(len(held.Blocks)) * transferTime)
+	e.mu.Lock()
+	e.cache.add(held.Blocks)
+	e.mu.Unlock()
+	writeJSON(w, held)
+}
+
+const transferTime = 2 * time.Millisecond // of one KV block
