Bill each answer once, in windows frozen before they are reported

Cause: usage was counted in memory only and reported nowhere.

Change: an entry counts an answer once it has reached its caller whole and writes sums with the highest number written, in one transaction; the sidecar that gave the answer remembers it until then and writes it if the entry ends. The holder of the reporter's lease freezes a window by conditional write and reports from the frozen row only.

Weighed: counting at the sidecar, which counts twice when an answer's end is lost on the way and another engine goes on; counting at both and matching ids, which needs a row for each answer.

An entry and a sidecar that end within ten seconds of each other lose what neither has written. Answers that a caller cuts are free.

--- a/coordination/dispatcher/attempt.go
+++ b/coordination/dispatcher/attempt.go
@@ -151,12 +151,28 @@
 		go upload(s, j.request.Call)
 	}
 	err := d.receive(j, s, q.Attempt)
-	if errors.Is(err, errSink) {
+	switch {
+	case err == nil:
+		_ = s.Write(&wire.Upload{Metered: d.count(j)})
+	case errors.Is(err, errSink):
 		_ = s.Write(&wire.Upload{Aborted: true})
 	}
 	return err
 }
 
+// count records the usage of a whole answer. One that belongs to another
+// request with the same idempotency key has been counted already.
+func (d *Dispatcher) count(j *job) *wire.Metered {
+	if d.settings.Meter == nil || j.request.Team == "" || j.followed {
+		return nil
+	}
+	u := j.usage
+	return &wire.Metered{
+		Process: d.settings.Name, Incarnation: d.settings.Incarnation, Sequence: d.settings.Meter(j.request.Team, u),
+		Team: j.request.Team, PromptTokens: uint32(u.Prompt), CachedTokens: uint32(u.Cached), Output: uint64(u.Output),
+	}
+}
+
 // execute makes the message that starts the request or attaches to it.
 func (j *job) execute(entry string, incarnation uint64, attach bool) *wire.Execute {
 	r := j.request
--- a/coordination/dispatcher/claim.go
+++ b/coordination/dispatcher/claim.go
@@ -60,11 +60,11 @@
 			Message: fmt.Sprintf("a request with this key went to %s, which is gone", j.claim.Target),
 		}
 	}
-	j.executeID = j.claim.Request
+	j.executeID, j.followed = j.claim.Request, true
 	err := d.executeAt(ctx, j, t, j.claim.Incarnation, true)
 	if errors.Is(err, errElsewhere) {
 		// The id is refused from now on where it was first sent.
-		j.executeID = uuid.NewString()
+		j.executeID, j.followed = uuid.NewString(), false
 	}
 	return err
 }
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -28,6 +28,11 @@
 
 	Router router.Settings
 
+	// Incarnation is that of this process, and Meter counts the usage of an
+	// answer and returns its number; none is counted if nil.
+	Incarnation uint64
+	Meter       func(team string, u radishspoke.Usage) uint64
+
 	// QueueLimit is the most requests that wait for one team; 256 if zero.
 	QueueLimit int
 
@@ -162,8 +167,10 @@
 	started bool
 
 	// executeID is the id under which sidecars know the request, claim the
-	// row that says so, if the caller brought a key.
+	// row that says so, if the caller brought a key. Followed is set when
+	// the id is that of another request with the same key.
 	executeID string
+	followed  bool
 	claim     claimer.Held
 
 	// startedBefore is what started was before the present target.
@@ -179,8 +186,8 @@
 // The error is a *radishspoke.Failure, or that of the sink or of ctx when the
 // caller has gone.
 func (d *Dispatcher) Do(ctx context.Context, q *radishspoke.Request, s radishspoke.Sink) error {
-	d.count(1)
-	defer d.count(-1)
+	d.enter(1)
+	defer d.enter(-1)
 	d.retries.Request()
 	j := d.newJob(q, s)
 	deadline, cancel := context.WithDeadline(ctx, q.Deadline)
@@ -207,7 +214,7 @@
 	return err.Error()
 }
 
-func (d *Dispatcher) count(n int) {
+func (d *Dispatcher) enter(n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.running += n
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// Meter takes the usage of each answer that ended whole, once.
-type Meter func(id, team string, u radishspoke.Usage)
+// Witness takes what an entry has counted of an answer.
+type Witness func(process string, incarnation uint64, a radishspoke.MeteredAnswer)
 
 // Report makes the target's load report, which goes out with every answer's
 // head.
@@ -87,7 +87,7 @@
 	settings Settings
 	engine   radishspoke.Engine
 	service  radishspoke.Service
-	meter    Meter
+	witness  Witness
 	report   Report
 	log      *slog.Logger
 
@@ -104,14 +104,14 @@
 
 // New returns an Executor for an engine or a service; the other is nil. It
 // panics if the incarnation is zero.
-func New(s Settings, e radishspoke.Engine, v radishspoke.Service, m Meter, r Report, t radishspoke.Timers, log *slog.Logger) *Executor {
+func New(s Settings, e radishspoke.Engine, v radishspoke.Service, w Witness, r Report, t radishspoke.Timers, log *slog.Logger) *Executor {
 	if s.Incarnation == 0 {
 		panic("executor: zero incarnation")
 	}
 	s.fill()
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Executor{
-		settings: s, engine: e, service: v, meter: m, report: r, log: log,
+		settings: s, engine: e, service: v, witness: w, report: r, log: log,
 		ctx: ctx, cancel: cancel, records: map[string]*record{}, idle: make(chan struct{}),
 	}
 	ticks, stop := t.Every(sweepInterval)
@@ -198,14 +198,29 @@
 	}
 	defer func() { r.detach(time.Now()) }()
 	c := &cursor{record: r, entry: q.Entry, attempt: q.Attempt, position: q.Offset}
+	received := make(chan struct{})
 	x.group.Add(1)
 	go func() {
 		defer x.group.Done()
+		defer close(received)
 		x.receive(s, r, c, upload)
 	}()
-	return x.send(s, c)
+	if err := x.send(s, c); err != nil {
+		return err
+	}
+	// The entry says what it has counted, and closes the stream.
+	t := time.NewTimer(closeTimeout)
+	defer t.Stop()
+	select {
+	case <-received:
+	case <-t.C:
+	}
+	return nil
 }
 
+// closeTimeout bounds the wait for an entry to close a stream that has ended.
+const closeTimeout = 2 * time.Second
+
 // send writes frames until the answer ends or the reader leaves.
 func (x *Executor) send(s *encoder.Stream, c *cursor) error {
 	for {
@@ -235,6 +250,12 @@
 			}
 			return
 		}
+		if m := u.Metered; m != nil {
+			x.witness(m.Process, m.Incarnation, radishspoke.MeteredAnswer{Sequence: m.Sequence, Team: m.Team, Usage: radishspoke.Usage{
+				Prompt: int(m.PromptTokens), Cached: int(m.CachedTokens), Output: int(m.Output),
+			}})
+			return
+		}
 		if u.Aborted {
 			x.stop(r, "cancelled by the caller")
 			if upload != nil {
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -31,12 +31,7 @@
 	if err != nil {
 		end, failure = nil, failureOf(err)
 	}
-	open := r.finish(end, failure, time.Now())
-	if open && end != nil {
-		x.meter(q.RequestId, q.Team, radishspoke.Usage{
-			Prompt: int(end.PromptTokens), Cached: int(end.CachedTokens), Output: int(end.Length),
-		})
-	}
+	r.finish(end, failure, time.Now())
 	x.mu.Lock()
 	x.running--
 	x.signalIdle()
--- /dev/null
+++ b/coordination/reporter/reporter.go
@@ -0,0 +1,254 @@
+package reporter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"radishspoke"
+)
+
+// The rows of a reporter.
+const (
+	freezeKey    = "usage/freeze" // the next window to freeze
+	reportKey    = "usage/report" // the next window to report
+	frozenPrefix = "usage/frozen/"
+)
+
+// pointer is the content of the pointer rows.
+type pointer struct {
+	Window int64 `json:"window"`
+
+	// Sender and Epoch are of whoever is about to report the window.
+	Sender string `json:"sender,omitempty"`
+	Epoch  int64  `json:"epoch,omitempty"`
+}
+
+// Figures are what is reported of one window.
+type Figures struct {
+	Window int64        `json:"window"`
+	From   time.Time    `json:"from"`
+	To     time.Time    `json:"to"`
+	Teams  []TeamFigure `json:"teams"`
+}
+
+// TeamFigure is one team's usage.
+type TeamFigure struct {
+	Team string `json:"team"`
+	radishspoke.Sums
+}
+
+// Tenure tells under which epoch this process is the reporter, and whether it
+// is at this moment.
+type Tenure func() (epoch int64, ok bool)
+
+// Reporter freezes and reports windows. Make it with New.
+type Reporter struct {
+	platform radishspoke.Platform
+	name     string
+	tenure   Tenure
+	window   func() time.Duration
+}
+
+// New returns the Reporter of the process of that name.
+func New(p radishspoke.Platform, name string, t Tenure, window func() time.Duration) *Reporter {
+	return &Reporter{platform: p, name: name, tenure: t, window: window}
+}
+
+// Step freezes the windows that are due and reports those that are frozen.
+func (r *Reporter) Step(ctx context.Context) error {
+	for {
+		more, err := r.freeze(ctx, time.Now())
+		if err != nil {
+			return err
+		}
+		if !more {
+			break
+		}
+	}
+	for {
+		more, err := r.report(ctx)
+		if err != nil || !more {
+			return err
+		}
+	}
+}
+
+// freeze makes up the figures of the next window if it is due. It tells
+// whether another one may be.
+func (r *Reporter) freeze(ctx context.Context, now time.Time) (bool, error) {
+	if _, ok := r.tenure(); !ok {
+		return false, nil
+	}
+	length := r.window()
+	p, version, err := r.pointer(ctx, freezeKey)
+	if errors.Is(err, radishspoke.ErrNotFound) {
+		return true, r.begin(ctx, now, length)
+	}
+	if err != nil {
+		return false, err
+	}
+	end := (p.Window + 1) * int64(length)
+	if now.UnixNano() < end+int64(radishspoke.UsageFreezeGrace) {
+		return false, nil
+	}
+	f, err := r.figures(ctx, p.Window, length)
+	if err != nil {
+		return false, err
+	}
+	data, err := json.Marshal(f)
+	if err != nil {
+		return false, fmt.Errorf("encode figures: %w", err)
+	}
+	next := encode(pointer{Window: p.Window + 1})
+	err = r.platform.Commit(ctx, uuid.NewString(),
+		radishspoke.Write{Key: freezeKey, Value: next, Version: version},
+		radishspoke.Write{Key: frozenKey(p.Window), Value: data})
+	if err != nil {
+		return false, fmt.Errorf("freeze window %d: %w", p.Window, err)
+	}
+	return true, nil
+}
+
+// begin writes the pointers at the oldest window that has usage, or the open
+// one.
+func (r *Reporter) begin(ctx context.Context, now time.Time, length time.Duration) error {
+	first := radishspoke.UsageWindow(now, length)
+	rows, err := r.platform.List(ctx, "usage/part/")
+	if err != nil {
+		return fmt.Errorf("look for usage: %w", err)
+	}
+	for _, row := range rows {
+		var w int64
+		if _, err := fmt.Sscanf(row.Key, "usage/part/%d/", &w); err == nil {
+			first = min(first, w)
+		}
+	}
+	p := encode(pointer{Window: first})
+	err = r.platform.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: freezeKey, Value: p}, radishspoke.Write{Key: reportKey, Value: p})
+	if err != nil {
+		return fmt.Errorf("begin with window %d: %w", first, err)
+	}
+	return nil
+}
+
+// figures adds up the parts of a window. Answers that a sidecar recorded for an
+// entry that ended are passed over if the entry did record them.
+func (r *Reporter) figures(ctx context.Context, window int64, length time.Duration) (Figures, error) {
+	rows, err := r.platform.List(ctx, radishspoke.UsagePrefix(window))
+	if err != nil {
+		return Figures{}, fmt.Errorf("read usage of window %d: %w", window, err)
+	}
+	teams := map[string]radishspoke.Sums{}
+	for _, row := range rows {
+		var p radishspoke.UsagePart
+		if err := json.Unmarshal(row.Value, &p); err != nil {
+			return Figures{}, fmt.Errorf("decode %s: %w", row.Key, err)
+		}
+		for t, s := range p.Teams {
+			sum := teams[t]
+			sum.Join(s)
+			teams[t] = sum
+		}
+		if len(p.Answers) > 0 {
+			if err := r.addAnswers(ctx, teams, p); err != nil {
+				return Figures{}, err
+			}
+		}
+	}
+	f := Figures{Window: window, From: time.Unix(0, window*int64(length)).UTC(), To: time.Unix(0, (window+1)*int64(length)).UTC(), Teams: []TeamFigure{}}
+	for t, s := range teams {
+		f.Teams = append(f.Teams, TeamFigure{Team: t, Sums: s})
+	}
+	sort.Slice(f.Teams, func(i, j int) bool { return f.Teams[i].Team < f.Teams[j].Team })
+	return f, nil
+}
+
+func (r *Reporter) addAnswers(ctx context.Context, teams map[string]radishspoke.Sums, p radishspoke.UsagePart) error {
+	var through radishspoke.UsageThrough
+	row, err := r.platform.Read(ctx, radishspoke.UsageThroughKey(p.Process, p.Incarnation))
+	switch {
+	case errors.Is(err, radishspoke.ErrNotFound):
+	case err != nil:
+		return fmt.Errorf("read usage of %s: %w", p.Process, err)
+	default:
+		if err := json.Unmarshal(row.Value, &through); err != nil {
+			return fmt.Errorf("decode %s: %w", row.Key, err)
+		}
+	}
+	for _, a := range p.Answers {
+		if a.Sequence <= through.Sequence {
+			continue
+		}
+		sum := teams[a.Team]
+		sum.Add(a.Usage)
+		teams[a.Team] = sum
+	}
+	return nil
+}
+
+// report sends the next frozen window. It tells whether another one may be.
+func (r *Reporter) report(ctx context.Context) (bool, error) {
+	epoch, ok := r.tenure()
+	if !ok {
+		return false, nil
+	}
+	p, version, err := r.pointer(ctx, reportKey)
+	if err != nil {
+		return false, err
+	}
+	row, err := r.platform.Read(ctx, frozenKey(p.Window))
+	if errors.Is(err, radishspoke.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, fmt.Errorf("read frozen window %d: %w", p.Window, err)
+	}
+	if p.Epoch > epoch {
+		return false, nil
+	}
+	p.Sender, p.Epoch = r.name, epoch
+	if err := r.platform.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: reportKey, Value: encode(p), Version: version}); err != nil {
+		return false, fmt.Errorf("announce report of window %d: %w", p.Window, err)
+	}
+	if _, ok := r.tenure(); !ok {
+		return false, nil
+	}
+	name := strings.TrimPrefix(frozenKey(p.Window), frozenPrefix)
+	if err := r.platform.ReportUsage(ctx, name, r.name, row.Value); err != nil {
+		return false, err
+	}
+	next := encode(pointer{Window: p.Window + 1})
+	if err := r.platform.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: reportKey, Value: next, Version: version + 1}); err != nil {
+		return false, fmt.Errorf("note report of window %d: %w", p.Window, err)
+	}
+	return true, nil
+}
+
+func (r *Reporter) pointer(ctx context.Context, key string) (pointer, int64, error) {
+	row, err := r.platform.Read(ctx, key)
+	if err != nil {
+		return pointer{}, 0, fmt.Errorf("read pointer: %w", err)
+	}
+	var p pointer
+	if err := json.Unmarshal(row.Value, &p); err != nil {
+		return pointer{}, 0, fmt.Errorf("decode %s: %w", key, err)
+	}
+	return p, row.Version, nil
+}
+
+func frozenKey(window int64) string { return fmt.Sprintf("%s%012d", frozenPrefix, window) }
+
+func encode(p pointer) []byte {
+	b, err := json.Marshal(p)
+	if err != nil {
+		panic("reporter: " + err.Error()) // a plain struct always encodes
+	}
+	return b
+}
--- a/internal/assembler/authority.go
+++ b/internal/assembler/authority.go
@@ -134,11 +134,41 @@
 	if e.leaving.Load() {
 		return nil
 	}
-	r := tracker.Rank(keeperLease, e.tracker.Entries())
-	if len(r) > 0 && r[0].Name == e.settings.Process.Name {
-		return []string{keeperLease}
+	var out []string
+	for _, lease := range []string{keeperLease, reporterLease} {
+		r := tracker.Rank(lease, e.tracker.Entries())
+		if len(r) > 0 && r[0].Name == e.settings.Process.Name {
+			out = append(out, lease)
+		}
+	}
+	return out
+}
+
+// The reporter is the entry that reports usage.
+const (
+	reporterLease  = "reporter"
+	reportInterval = 5 * time.Second
+)
+
+func (e *Entry) reporterTenure() (int64, bool) { return e.elector.Holds(reporterLease) }
+
+// reportLoop reports closed windows while this entry is the reporter.
+func (e *Entry) reportLoop(ctx context.Context) {
+	ticks, stop := e.timers.Every(reportInterval)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+		if _, ok := e.reporterTenure(); !ok {
+			continue
+		}
+		if err := e.reporter.Step(ctx); err != nil && ctx.Err() == nil {
+			e.log.Warn("usage not reported", "error", err)
+		}
 	}
-	return nil
 }
 
 // readVoters takes the set of voters from the store.
--- a/internal/assembler/breakage_test.go
+++ b/internal/assembler/breakage_test.go
@@ -46,6 +46,7 @@
 			b.breakAnswer(func(b *bed, t string) { b.network.Reset("entry-1", "sidecar-"+t) })
 		}},
 		{breaker.Tenures, three, func(b *bed) { b.overload(func(*bed) {}) }},
+		{breaker.Witnesses, three, func(b *bed) { b.bill(killThird) }},
 		{breaker.Standing, three, func(b *bed) {
 			b.withdrawAndAsk(cutFromAll)
 		}},
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -15,6 +15,8 @@
 	"radishspoke/coordination/dispatcher"
 	"radishspoke/coordination/elector"
 	"radishspoke/coordination/limiter"
+	"radishspoke/coordination/meter"
+	"radishspoke/coordination/reporter"
 	"radishspoke/coordination/router"
 	"radishspoke/coordination/voter"
 	"radishspoke/coordination/voucher"
@@ -35,6 +37,8 @@
 	voter      *voter.Voter
 	owner      *limiter.Owner
 	limiter    *limiter.Limiter
+	meter      *meter.Meter
+	reporter   *reporter.Reporter
 	auth       *authenticator.Authenticator
 	voucher    *voucher.Voucher
 	dispatcher *dispatcher.Dispatcher
@@ -77,8 +81,10 @@
 	e.elector = elector.New(elector.Settings{Name: s.Process.Name, Address: s.Sessions.Address}, e.store, e.timers, e.wantedLeases, e.log)
 	e.voter = voter.New(voter.Settings{Name: s.Process.Name, Rights: shardNames()}, e.timers, e.askVote, rankNames, e.random(voteDuty), e.log)
 	e.owner = limiter.NewOwner(e.timers, e.tenure, e.team)
+	e.meter = meter.New(e.store, s.Process.Name, e.incarnation, e.usageWindow)
+	e.reporter = reporter.New(e.store, s.Process.Name, e.reporterTenure, e.usageWindow)
 	e.limiter = limiter.New(s.Process.Name, e.timers, e.askBudget)
-	e.dispatcher = dispatcher.New(dispatcher.Settings{Name: s.Process.Name, Router: router.Settings{Zone: s.Process.Zone}},
+	e.dispatcher = dispatcher.New(dispatcher.Settings{Name: s.Process.Name, Incarnation: e.incarnation, Meter: e.count, Router: router.Settings{Zone: s.Process.Zone}},
 		e.pool, e.limiter, e.timers, e.auth.Valid, claimer.New(e.store), e.random(routeDuty), e.log)
 	e.gateway = gateway.New(gateway.Settings{MaxBody: int64(s.Callers.MaxBody), BodyTimeout: s.Callers.BodyTimeout},
 		e.auth, e.dispatch, e.log)
@@ -115,6 +121,10 @@
 	})
 	e.run(func(ctx context.Context) { e.voter.Run(ctx, e.timers) })
 	e.run(e.keeperLoop)
+	e.run(e.reportLoop)
+	e.run(func(ctx context.Context) {
+		e.meter.Run(ctx, e.timers, func(err error) { e.log.Warn("usage not written", "error", err) })
+	})
 	e.run(e.pollLoop)
 	e.run(e.keepLoop)
 	return nil
@@ -188,7 +198,16 @@
 
 // probe makes the probe that goes to every peer.
 func (e *Entry) probe() *wire.Probe {
-	return &wire.Probe{Process: e.settings.Process.Name, ConfigVersion: e.watcher.Version(), FreshAgeMs: ageMillis(e.watcher.Age())}
+	return &wire.Probe{
+		Process: e.settings.Process.Name, ConfigVersion: e.watcher.Version(), FreshAgeMs: ageMillis(e.watcher.Age()),
+		Incarnation: e.incarnation, UsageThrough: e.meter.Through(),
+	}
+}
+
+// count records the usage of one answer.
+func (e *Entry) count(team string, u radishspoke.Usage) uint64 {
+	e.recorder.Tokens(team, u.Output)
+	return e.meter.Add(team, u)
 }
 
 // answer replies to a peer's probe.
@@ -398,6 +417,9 @@
 		e.log.Warn("entry stops with requests running", "requests", all, "error", err)
 	}
 	q, cancel = context.WithTimeout(context.Background(), leaveTimeout)
+	if err := e.meter.Flush(q); err != nil {
+		e.log.Warn("usage not written", "error", err)
+	}
 	_ = e.store.Withdraw(q, e.settings.Process.Name)
 	cancel()
 	e.Close()
--- a/internal/assembler/process.go
+++ b/internal/assembler/process.go
@@ -255,3 +255,13 @@
 	}
 	return otherwise
 }
+
+// usageWindow returns the length of a billing window.
+func (p *process) usageWindow() time.Duration {
+	if c := p.watcher.Current(); c != nil {
+		return c.Inventory.Rules.UsageWindow
+	}
+	return defaultUsageWindow
+}
+
+const defaultUsageWindow = time.Minute
--- a/internal/assembler/sidecar.go
+++ b/internal/assembler/sidecar.go
@@ -8,6 +8,7 @@
 
 	"radishspoke"
 	"radishspoke/coordination/executor"
+	"radishspoke/coordination/meter"
 	"radishspoke/protocol/encoder"
 	"radishspoke/protocol/wire"
 	"radishspoke/state/parser"
@@ -23,6 +24,7 @@
 	engine   *adapter.Engine
 	service  *adapter.Service
 	executor *executor.Executor
+	witness  *meter.Witness
 
 	mu       sync.Mutex
 	reported radishspoke.Load // the target's own last report
@@ -105,12 +107,13 @@
 		c.service = adapter.NewService(c.env.Network, c.target.Address)
 		v = c.service
 	}
+	c.witness = meter.NewWitness(c.store, c.settings.Process.Name, c.usageWindow)
 	s := executor.Settings{
 		Target: c.target.Name, Incarnation: c.incarnation,
 		AnswerKeep: c.settings.Sidecar.AnswerKeep, RequestKeep: c.settings.Sidecar.RequestKeep,
 		Pace: paceOf(c.settings.Sidecar.Pace),
 	}
-	c.executor = executor.New(s, e, v, c.meter, c.load, c.timers, c.log)
+	c.executor = executor.New(s, e, v, c.witness.Saw, c.load, c.timers, c.log)
 	m := c.executor.Methods()
 	m[pushMethod] = encoder.Unary(c.push)
 	m[fetchMethod] = encoder.Unary(c.fetch)
@@ -135,13 +138,57 @@
 	c.recorder.Gauge("requests_running", func() float64 { n, _ := c.executor.Running(); return float64(n) })
 	c.run(func(ctx context.Context) { c.announceLoop(ctx, c.announce(tracker.SidecarKind, false)) })
 	c.run(c.pollLoop)
+	c.run(c.witnessLoop)
 	if c.engine != nil {
 		c.run(c.loadLoop)
 	}
 	return nil
 }
 
-func (c *Sidecar) meter(_, team string, u radishspoke.Usage) { c.recorder.Tokens(team, u.Output) }
+// witnessLoop writes the usage that entries which have ended left unrecorded.
+func (c *Sidecar) witnessLoop(ctx context.Context) {
+	ticks, stop := c.timers.Every(meter.FlushInterval)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+		if err := c.findGone(ctx); err != nil && ctx.Err() == nil {
+			c.log.Warn("entries not looked up", "error", err)
+		}
+		if err := c.witness.Flush(ctx); err != nil && ctx.Err() == nil {
+			c.log.Warn("usage not written", "error", err)
+		}
+	}
+}
+
+// entrySilence is how long an entry is silent before the platform is asked
+// whether it still is.
+const entrySilence = 30 * time.Second
+
+// findGone looks silent entries up on the platform's list.
+func (c *Sidecar) findGone(ctx context.Context) error {
+	suspects := c.witness.Suspects(time.Now(), entrySilence)
+	if len(suspects) == 0 {
+		return nil
+	}
+	members, err := c.store.Members(ctx)
+	if err != nil {
+		return fmt.Errorf("list members: %w", err)
+	}
+	live := map[string]bool{}
+	for _, m := range members {
+		live[m.Name] = true
+	}
+	for _, n := range suspects {
+		if !live[n] {
+			c.witness.Gone(n)
+		}
+	}
+	return nil
+}
 
 // pollLoop reads the configuration now and then, should no entry bring it.
 func (c *Sidecar) pollLoop(ctx context.Context) {
@@ -204,7 +251,8 @@
 	return &wire.ProbeReply{Process: c.settings.Process.Name, ConfigVersion: c.watcher.Version(), Incarnation: c.incarnation}
 }
 
-func (c *Sidecar) answer(*wire.Probe) *wire.ProbeReply {
+func (c *Sidecar) answer(q *wire.Probe) *wire.ProbeReply {
+	c.witness.Heard(q.Process, q.Incarnation, q.UsageThrough)
 	return &wire.ProbeReply{
 		Process: c.settings.Process.Name, ConfigVersion: c.watcher.Version(), FreshAgeMs: ageMillis(c.watcher.Age()),
 		Incarnation: c.incarnation, Load: c.load(),
@@ -248,6 +296,9 @@
 		c.log.Warn("sidecar stops with requests running", "requests", n)
 	}
 	q, cancel = context.WithTimeout(context.Background(), leaveTimeout)
+	if err := c.witness.Flush(q); err != nil {
+		c.log.Warn("usage not written", "error", err)
+	}
 	_ = c.store.Withdraw(q, c.settings.Process.Name)
 	cancel()
 	c.Close()
--- a/internal/breaker/doc.go
+++ b/internal/breaker/doc.go
@@ -40,6 +40,9 @@
 	// Votes lets a voter grant a right that it has granted to another.
 	Votes Switch = "votes"
 
+	// Witnesses keeps sidecars from recording what ended entries left.
+	Witnesses Switch = "witnesses"
+
 	// Standing trusts keys however old the configuration is.
 	Standing Switch = "standing"
 )
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -325,3 +325,10 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// Drop takes a host that has failed off the list.
+func (p *Platform) Drop(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members = append(p.members, memberChange{at: time.Now(), name: name})
+}
--- a/platform.go
+++ b/platform.go
@@ -74,9 +74,16 @@
 	Withdraw(ctx context.Context, name string) error
 }
 
+// UsageIntake takes the usage of closed windows.
+type UsageIntake interface {
+	// ReportUsage reports a window's figures, in JSON.
+	ReportUsage(ctx context.Context, window, reporter string, figures []byte) error
+}
+
 // Platform is everything that outlives the system's own processes.
 type Platform interface {
 	Table
 	Objects
 	Hosts
+	UsageIntake
 }
--- a/state/storer/storer.go
+++ b/state/storer/storer.go
@@ -153,6 +153,19 @@
 	return nil
 }
 
+// ReportUsage reports a window's figures.
+func (c *Client) ReportUsage(ctx context.Context, window, reporter string, figures []byte) error {
+	body := struct {
+		Window   string          `json:"window"`
+		Reporter string          `json:"reporter"`
+		Figures  json.RawMessage `json:"figures"`
+	}{window, reporter, figures}
+	if err := c.do(ctx, http.MethodPost, "usage", body, nil); err != nil {
+		return fmt.Errorf("report usage of %s: %w", window, err)
+	}
+	return nil
+}
+
 // do sends in as JSON and decodes the answer into out.
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
 	var body []byte
