Bring engines to the inventory one part at a time, through a fence

Cause: an edit of a model's version or an engine's role had no effect on the engines.

Each sidecar carries out one order at a time after draining, refuses older ones, and takes none before it has read the newest epoch. Leases of the store have second and third candidates.

Found by the tests: a cut-off planner that the list still showed kept others from the lease; a sidecar restarted beside a changing engine took requests and let the planner order the other engine too; refusals by a draining target spent the retry budget; a refused id barred its request from coming back to the same target. All four are mended.

Roles do not yet follow the load.

--- a/coordination/dispatcher/attempt.go
+++ b/coordination/dispatcher/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"radishspoke"
@@ -21,6 +22,9 @@
 // errElsewhere says that the request is to go to another target.
 var errElsewhere = errors.New("another target is to be tried")
 
+// errDraining is an errElsewhere of a target that takes no new requests.
+var errDraining = fmt.Errorf("target drains: %w", errElsewhere)
+
 // errLost says that the answer's stream broke before its end.
 var errLost = errors.New("answer's stream was lost")
 
@@ -39,7 +43,7 @@
 		if err == nil {
 			err = d.runAt(ctx, j, c)
 		}
-		d.ended(c.Target.Name, errors.Is(err, errElsewhere))
+		d.ended(c.Target.Name, errors.Is(err, errElsewhere) && !errors.Is(err, errDraining))
 		if errors.Is(err, errClaimed) {
 			err = d.follow(ctx, j)
 		}
@@ -50,6 +54,10 @@
 		if !j.canMove() {
 			return err
 		}
+		if errors.Is(err, errDraining) {
+			d.drains(c.Target.Name)
+			continue
+		}
 		if !d.retries.Retry() {
 			return &radishspoke.Failure{
 				Outcome: j.outcome(), Status: http.StatusServiceUnavailable, Code: "retries_used_up",
@@ -316,7 +324,12 @@
 		return &radishspoke.Failure{Outcome: radishspoke.OutcomeRun, Status: http.StatusConflict, Code: "answer_gone", Message: f.Reason}
 	}
 	if notRun {
-		j.started = j.startedBefore
+		// The target refuses this id for good, so it must not bar the
+		// request from coming back to it.
+		j.started, j.executeID = j.startedBefore, uuid.NewString()
+	}
+	if notRun && f.Draining {
+		return fmt.Errorf("%w: %s", errDraining, f.Reason)
 	}
 	if f.Elsewhere && (notRun || j.request.Route.Idempotent) {
 		return fmt.Errorf("%w: %s", errElsewhere, f.Reason)
--- a/coordination/dispatcher/claim.go
+++ b/coordination/dispatcher/claim.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"radishspoke"
@@ -63,8 +62,7 @@
 	j.executeID, j.followed = j.claim.Request, true
 	err := d.executeAt(ctx, j, t, j.claim.Incarnation, true)
 	if errors.Is(err, errElsewhere) {
-		// The id is refused from now on where it was first sent.
-		j.executeID, j.followed = uuid.NewString(), false
+		j.followed = false
 	}
 	return err
 }
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 	"radishspoke"
 	"radishspoke/coordination/claimer"
 	"radishspoke/coordination/limiter"
+	"radishspoke/coordination/planner"
 	"radishspoke/coordination/retrier"
 	"radishspoke/coordination/router"
 	"radishspoke/coordination/scheduler"
@@ -433,6 +434,13 @@
 	d.placeAll()
 }
 
+// drains notes that a target takes no new requests, until its next report.
+func (d *Dispatcher) drains(target string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.Drains(target)
+}
+
 func (d *Dispatcher) pause(ctx context.Context, try int) error {
 	d.mu.Lock()
 	p := retrier.Pause(try, d.random)
@@ -474,3 +482,16 @@
 	}
 	return out
 }
+
+// Engines returns what the planner needs to know of every engine.
+func (d *Dispatcher) Engines() []planner.Engine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []planner.Engine
+	for _, v := range d.router.Views(d.clock.Now()) {
+		if v.Target.Kind == radishspoke.EngineTarget && v.Reachable {
+			out = append(out, planner.Engine{Target: v.Target, Load: v.Load, Usable: !v.Ejected && !v.Target.Draining})
+		}
+	}
+	return out
+}
--- a/coordination/elector/elector.go
+++ b/coordination/elector/elector.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"log/slog"
 	"sort"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"radishspoke"
 )
 
@@ -68,8 +72,27 @@
 	since   time.Duration // when this version was first seen
 }
 
-// Wanted returns the names of the leases that this process should hold.
-type Wanted func() []string
+// Wanted returns the leases that this process may hold, with its rank among
+// those that may. A process of rank n takes a lease only when it has been free
+// for n times its duration.
+type Wanted func() map[string]int
+
+// Epoch reads the present epoch of a lease from the table, 0 if it was never
+// taken.
+func Epoch(ctx context.Context, t radishspoke.Table, name string) (int64, error) {
+	r, err := t.Read(ctx, Prefix+name)
+	if errors.Is(err, radishspoke.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("read lease %s: %w", name, err)
+	}
+	var l Lease
+	if err := json.Unmarshal(r.Value, &l); err != nil {
+		return 0, fmt.Errorf("decode lease %s: %w", name, err)
+	}
+	return l.Epoch, nil
+}
 
 // Elector takes, renews and releases leases. Make it with New.
 type Elector struct {
@@ -109,10 +132,7 @@
 // Step renews what is held, gives up what is no longer wanted, and tries to
 // take what is.
 func (e *Elector) Step(ctx context.Context) {
-	want := map[string]bool{}
-	for _, n := range e.wanted() {
-		want[n] = true
-	}
+	want := e.wanted()
 	ctx, cancel := context.WithTimeout(ctx, e.settings.Duration/renewals)
 	defer cancel()
 	if err := e.renew(ctx, want); err != nil {
--- a/coordination/elector/renew.go
+++ b/coordination/elector/renew.go
@@ -17,7 +17,7 @@
 
 // renew writes every held row in one transaction. After a conflict it writes
 // each alone, to find out which were lost.
-func (e *Elector) renew(ctx context.Context, want map[string]bool) error {
+func (e *Elector) renew(ctx context.Context, want map[string]int) error {
 	if e.uncertain() {
 		if err := e.read(ctx); err != nil {
 			return err
@@ -56,7 +56,7 @@
 
 // write renews the named rows, or releases those not wanted. A release takes
 // effect here before it is sent.
-func (e *Elector) write(ctx context.Context, names []string, want map[string]bool) error {
+func (e *Elector) write(ctx context.Context, names []string, want map[string]int) error {
 	sent := e.clock.Now()
 	next, writes := e.prepare(names, want)
 	err := e.table.Commit(ctx, uuid.NewString(), writes...)
@@ -75,7 +75,7 @@
 }
 
 // prepare makes the next content of each row.
-func (e *Elector) prepare(names []string, want map[string]bool) (map[string]Lease, []radishspoke.Write) {
+func (e *Elector) prepare(names []string, want map[string]int) (map[string]Lease, []radishspoke.Write) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	next := make(map[string]Lease, len(names))
@@ -84,7 +84,7 @@
 		h := e.held[n]
 		l := h.lease
 		l.Beat++
-		if !want[n] {
+		if _, ok := want[n]; !ok {
 			l.Released = true
 			h.until = 0
 		}
--- a/coordination/elector/take.go
+++ b/coordination/elector/take.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -14,7 +15,7 @@
 
 // take takes the wanted leases that are free. It reads the rows if there is
 // something to learn from them.
-func (e *Elector) take(ctx context.Context, want map[string]bool) error {
+func (e *Elector) take(ctx context.Context, want map[string]int) error {
 	if !e.curious(want) {
 		return nil
 	}
@@ -30,7 +31,7 @@
 }
 
 // curious tells whether a wanted lease is not held.
-func (e *Elector) curious(want map[string]bool) bool {
+func (e *Elector) curious(want map[string]int) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for n := range want {
@@ -65,8 +66,8 @@
 			e.seen[n] = &seen{lease: l, version: r.Version, since: now}
 		}
 	}
-	for n := range e.seen {
-		if !present[n] {
+	for n, s := range e.seen {
+		if !present[n] && s.version > 0 {
 			delete(e.seen, n)
 		}
 	}
@@ -86,17 +87,26 @@
 
 // free returns the wanted leases that no other process can hold any more, as
 // far as the rows tell.
-func (e *Elector) free(want map[string]bool) []string {
+func (e *Elector) free(want map[string]int) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
 	var out []string
-	for n := range want {
+	for n, rank := range want {
 		if _, ok := e.held[n]; ok {
 			continue
 		}
 		s, ok := e.seen[n]
-		if !ok || s.lease.Released || now-s.since > e.settings.Duration+e.settings.Margin {
+		if !ok {
+			// A row that is not there is seen as one of version 0.
+			s = &seen{since: now, lease: Lease{Released: true}}
+			e.seen[n] = s
+		}
+		wait := time.Duration(rank) * e.settings.Duration
+		if !s.lease.Released {
+			wait += e.settings.Duration + e.settings.Margin
+		}
+		if now-s.since >= wait {
 			out = append(out, n)
 		}
 	}
--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -95,11 +95,11 @@
 	cancel context.CancelFunc
 	group  sync.WaitGroup
 
-	mu       sync.Mutex
-	records  map[string]*record
-	draining bool
-	running  int
-	idle     chan struct{} // closed when draining and nothing runs
+	mu      sync.Mutex
+	records map[string]*record
+	reasons map[Reason]bool // why new requests are refused
+	running int
+	idle    chan struct{} // closed when draining and nothing runs
 }
 
 // New returns an Executor for an engine or a service; the other is nil. It
@@ -112,7 +112,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Executor{
 		settings: s, engine: e, service: v, witness: w, report: r, log: log,
-		ctx: ctx, cancel: cancel, records: map[string]*record{}, idle: make(chan struct{}),
+		ctx: ctx, cancel: cancel, records: map[string]*record{}, reasons: map[Reason]bool{}, idle: make(chan struct{}),
 	}
 	ticks, stop := t.Every(sweepInterval)
 	x.group.Add(1)
@@ -147,17 +147,33 @@
 func (x *Executor) Running() (n int, draining bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.running, x.draining
+	return x.running, x.draining()
 }
 
-// Drain refuses new requests, or takes them again.
-func (x *Executor) Drain(on bool) {
+// Reason is why an executor refuses new requests.
+type Reason string
+
+// The reasons.
+const (
+	Leaving  Reason = "leaving"  // the sidecar stops
+	Ordering Reason = "ordering" // the engine is to be ordered
+	Changing Reason = "changing" // the engine carries out an order
+)
+
+// Drain refuses new requests for a reason, or lifts it.
+func (x *Executor) Drain(why Reason, on bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.draining = on
+	if on {
+		x.reasons[why] = true
+	} else {
+		delete(x.reasons, why)
+	}
 	x.signalIdle()
 }
 
+func (x *Executor) draining() bool { return len(x.reasons) > 0 }
+
 // Idle returns a channel that is closed once the executor drains and nothing
 // runs any more.
 func (x *Executor) Idle() <-chan struct{} {
@@ -169,11 +185,11 @@
 func (x *Executor) signalIdle() {
 	select {
 	case <-x.idle:
-		if !x.draining {
+		if !x.draining() {
 			x.idle = make(chan struct{})
 		}
 	default:
-		if x.draining && x.running == 0 {
+		if x.draining() && x.running == 0 {
 			close(x.idle)
 		}
 	}
@@ -288,7 +304,7 @@
 	}
 	if reason := x.refusal(q, restarted); reason != "" {
 		x.refuse(q.RequestId, reason)
-		return nil, nil, &wire.Failure{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: reason, Elsewhere: true}
+		return nil, nil, &wire.Failure{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: reason, Elsewhere: true, Draining: x.draining()}
 	}
 	r := newRecord(q.RequestId, q.Idempotent, q.Generation != nil, q.Offset)
 	x.records[q.RequestId] = r
@@ -315,7 +331,7 @@
 		return "the request never came"
 	case restarted:
 		return "the sidecar was restarted"
-	case x.draining:
+	case x.draining():
 		return "the target is draining"
 	case len(x.records) >= x.settings.MaxRecords:
 		return "the sidecar remembers too many requests"
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -180,6 +180,13 @@
 	}
 }
 
+// Drains notes that a target takes no new requests, until its next report.
+func (r *Router) Drains(name string) {
+	if t, ok := r.targets[name]; ok {
+		t.load.Draining = true
+	}
+}
+
 // Sent notes that a request has gone to a target.
 func (r *Router) Sent(name string, w Work) {
 	t, ok := r.targets[name]
@@ -313,6 +320,9 @@
 	if now-t.reported > r.settings.ReportAge || now < t.ejectedUntil {
 		return false
 	}
+	if t.Kind == radishspoke.EngineTarget && t.load.Model != "" && t.load.Model != t.Model {
+		return false
+	}
 	if t.Kind == radishspoke.EngineTarget && t.load.Role == radishspoke.DecodeRole && len(r.pools[w.Pool]) > 1 && w.PromptTokens > 0 && r.hasRole(w.Pool, radishspoke.BothRole) {
 		return false
 	}
--- a/internal/assembler/authority.go
+++ b/internal/assembler/authority.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"radishspoke"
+	"radishspoke/coordination/planner"
 	"radishspoke/coordination/voter"
 	"radishspoke/internal/breaker"
 	"radishspoke/protocol/encoder"
@@ -129,16 +130,21 @@
 	keeperInterval = time.Second
 )
 
-// wantedLeases returns the store's leases that this entry should hold.
-func (e *Entry) wantedLeases() []string {
+// leaseCandidates is the number of entries that may take a lease of the store.
+const leaseCandidates = 3
+
+// wantedLeases returns the store's leases that this entry may hold, with its
+// rank for each.
+func (e *Entry) wantedLeases() map[string]int {
+	out := map[string]int{}
 	if e.leaving.Load() {
-		return nil
+		return out
 	}
-	var out []string
-	for _, lease := range []string{keeperLease, reporterLease} {
-		r := tracker.Rank(lease, e.tracker.Entries())
-		if len(r) > 0 && r[0].Name == e.settings.Process.Name {
-			out = append(out, lease)
+	for _, lease := range []string{keeperLease, reporterLease, plannerLease} {
+		for i, m := range tracker.Rank(lease, e.tracker.Entries()) {
+			if i < leaseCandidates && m.Name == e.settings.Process.Name {
+				out[lease] = i
+			}
 		}
 	}
 	return out
@@ -252,3 +258,60 @@
 	}
 	return out
 }
+
+// The planner is the entry that orders engines.
+const (
+	plannerLease = "planner"
+	planInterval = 2 * time.Second
+)
+
+// planLoop orders engines while this entry is the planner.
+func (e *Entry) planLoop(ctx context.Context) {
+	ticks, stop := e.timers.Every(planInterval)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+		if epoch, ok := e.elector.Holds(plannerLease); ok {
+			e.plan(ctx, epoch)
+		}
+	}
+}
+
+// plan gives the orders that are due. Each is sent only while the lease still
+// holds, and its sidecar refuses it once a newer planner has given one.
+func (e *Entry) plan(ctx context.Context, epoch int64) {
+	c := e.watcher.Current()
+	if c == nil {
+		return
+	}
+	for _, k := range planner.Plan(&c.Inventory, c.Version, epoch, e.dispatcher.Engines()) {
+		if now, ok := e.elector.Holds(plannerLease); !ok || now != epoch {
+			return
+		}
+		if err := e.order(ctx, k); err != nil && ctx.Err() == nil {
+			e.log.Warn("order not given", "target", k.Target.Name, "error", err)
+		}
+	}
+}
+
+const orderTimeout = time.Second
+
+func (e *Entry) order(ctx context.Context, k planner.Change) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	o := k.Order
+	r, err := connector.Call[wire.OrderReply](ctx, e.pool, k.Target.Sidecar, orderMethod, &wire.Order{
+		Epoch: o.Epoch, Sequence: o.Sequence, Role: string(o.Role), Model: o.Model, Version: o.Version, Adapters: o.Adapters,
+	})
+	if err != nil {
+		return err
+	}
+	if !r.Accepted {
+		return fmt.Errorf("order to %s refused: %s", k.Target.Name, r.Reason)
+	}
+	return nil
+}
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -122,6 +122,7 @@
 	e.run(func(ctx context.Context) { e.voter.Run(ctx, e.timers) })
 	e.run(e.keeperLoop)
 	e.run(e.reportLoop)
+	e.run(e.planLoop)
 	e.run(func(ctx context.Context) {
 		e.meter.Run(ctx, e.timers, func(err error) { e.log.Warn("usage not written", "error", err) })
 	})
--- a/internal/assembler/process.go
+++ b/internal/assembler/process.go
@@ -43,6 +43,7 @@
 	pushMethod   = "config.push"
 	budgetMethod = "budget"
 	voteMethod   = "vote"
+	orderMethod  = "order"
 )
 
 // process is what entries and sidecars have in common.
--- a/internal/assembler/sidecar.go
+++ b/internal/assembler/sidecar.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"radishspoke"
+	"radishspoke/coordination/elector"
 	"radishspoke/coordination/executor"
+	"radishspoke/coordination/fencer"
 	"radishspoke/coordination/meter"
 	"radishspoke/protocol/encoder"
 	"radishspoke/protocol/wire"
@@ -25,6 +27,7 @@
 	service  *adapter.Service
 	executor *executor.Executor
 	witness  *meter.Witness
+	fencer   *fencer.Fencer // nil beside a service
 
 	mu       sync.Mutex
 	reported radishspoke.Load // the target's own last report
@@ -115,6 +118,10 @@
 	}
 	c.executor = executor.New(s, e, v, c.witness.Saw, c.load, c.timers, c.log)
 	m := c.executor.Methods()
+	if e != nil {
+		c.fencer = fencer.New(e, c.executor, c.log)
+		m[orderMethod] = encoder.Unary(c.order)
+	}
 	m[pushMethod] = encoder.Unary(c.push)
 	m[fetchMethod] = encoder.Unary(c.fetch)
 	c.server = listener.New(m, c.settings.Sessions.ProbeTimeout, c.answer, c.log)
@@ -140,11 +147,46 @@
 	c.run(c.pollLoop)
 	c.run(c.witnessLoop)
 	if c.engine != nil {
+		c.run(c.learnEpoch)
+		c.run(c.fencer.Run)
 		c.run(c.loadLoop)
 	}
 	return nil
 }
 
+// learnEpoch reads the planner's epoch from the table, without which no order
+// is taken.
+func (c *Sidecar) learnEpoch(ctx context.Context) {
+	for {
+		epoch, err := elector.Epoch(ctx, c.store, plannerLease)
+		if err == nil {
+			c.fencer.Learn(epoch)
+			return
+		}
+		c.log.Warn("planner's epoch not read", "error", err)
+		t := time.NewTimer(firstPollRetry)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// order takes a planner's order for the engine.
+func (c *Sidecar) order(_ context.Context, q *wire.Order) (*wire.OrderReply, error) {
+	err := c.fencer.Submit(radishspoke.Order{
+		Epoch: q.Epoch, Sequence: q.Sequence, Role: radishspoke.Role(q.Role), Model: q.Model, Version: q.Version, Adapters: q.Adapters,
+	})
+	applied, _ := c.fencer.Applied()
+	r := &wire.OrderReply{Accepted: err == nil, Epoch: applied.Epoch, Sequence: applied.Sequence}
+	if err != nil {
+		r.Reason = err.Error()
+	}
+	return r, nil
+}
+
 // witnessLoop writes the usage that entries which have ended left unrecorded.
 func (c *Sidecar) witnessLoop(ctx context.Context) {
 	ticks, stop := c.timers.Every(meter.FlushInterval)
@@ -207,28 +249,42 @@
 	}
 }
 
-// loadLoop reads the engine's own report.
+// loadLoop reads what the engine says of itself. While it carries out an
+// order, be it one that an earlier sidecar gave, it gets no requests.
 func (c *Sidecar) loadLoop(ctx context.Context) {
 	ticks, stop := c.timers.Every(loadInterval)
 	defer stop()
 	for {
+		if err := c.readEngine(ctx); err != nil && ctx.Err() == nil {
+			c.log.Debug("engine not read", "error", err)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticks:
 		}
-		q, cancel := context.WithTimeout(ctx, loadTimeout)
-		l, err := c.engine.Load(q)
-		cancel()
-		if err != nil {
-			continue
-		}
-		c.mu.Lock()
-		c.reported = l
-		c.mu.Unlock()
 	}
 }
 
+func (c *Sidecar) readEngine(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	state, err := c.engine.State(ctx)
+	if err != nil {
+		return err
+	}
+	c.executor.Drain(executor.Changing, state.Changing)
+	l, err := c.engine.Load(ctx)
+	if err != nil {
+		return err
+	}
+	l.Role, l.Model, l.Version = state.Role, state.Model, state.Version
+	c.mu.Lock()
+	c.reported = l
+	c.mu.Unlock()
+	return nil
+}
+
 // load joins the engine's report, which lags, with what the sidecar knows at
 // this moment: every request to the target runs through it.
 func (c *Sidecar) load() *wire.Load {
@@ -241,8 +297,9 @@
 		FreeBlocks: uint32(r.FreeBlocks), TotalBlocks: uint32(r.TotalBlocks),
 		Role: string(r.Role), Model: r.Model, Version: r.Version, Draining: draining,
 	}
-	if l.Role == "" {
-		l.Role = string(c.target.Role)
+	if c.fencer != nil {
+		o, changing := c.fencer.Applied()
+		l.Epoch, l.Sequence, l.Draining = o.Epoch, o.Sequence, l.Draining || changing
 	}
 	return l
 }
@@ -284,7 +341,7 @@
 
 // Stop ends the sidecar once its requests have ended, or when ctx does.
 func (c *Sidecar) Stop(ctx context.Context) {
-	c.executor.Drain(true)
+	c.executor.Drain(executor.Leaving, true)
 	c.log.Info("sidecar drains")
 	q, cancel := context.WithTimeout(ctx, leaveTimeout)
 	_ = c.store.Announce(q, c.announce(tracker.SidecarKind, true))
