--- a/internal/assembler/harness_test.go
+++ b/internal/assembler/harness_test.go
@@ -89,6 +89,7 @@
 [rules]
 drain-timeout = 30s
 max-output = 2000
+usage-window = 15s
 `
 
 // bed is a deployment on a network in memory, inside a synctest bubble.
--- a/internal/assembler/sidecar.go
+++ b/internal/assembler/sidecar.go
@@ -35,6 +35,7 @@
 
 const (
 	loadInterval     = 200 * time.Millisecond // between reads of the target's load
+	idleReads        = 5                      // intervals between reads of an idle target
 	loadTimeout      = time.Second
 	slowPollInterval = time.Minute // of a sidecar that entries keep up to date
 	firstPollRetry   = time.Second
@@ -254,9 +255,11 @@
 func (c *Sidecar) loadLoop(ctx context.Context) {
 	ticks, stop := c.timers.Every(loadInterval)
 	defer stop()
-	for {
-		if err := c.readEngine(ctx); err != nil && ctx.Err() == nil {
-			c.log.Debug("engine not read", "error", err)
+	for i := 0; ; i++ {
+		if n, _ := c.executor.Running(); n > 0 || i%idleReads == 0 {
+			if err := c.readEngine(ctx); err != nil && ctx.Err() == nil {
+				c.log.Debug("engine not read", "error", err)
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -267,6 +267,7 @@
 func (e *Engine) step() time.Duration {
 	e.drop()
 	if len(e.sequences) == 0 {
+		e.record()
 		return 0
 	}
 	sort.SliceStable(e.sequences, func(i, j int) bool {
