--- a/coordination/dispatcher/attempt.go
+++ b/coordination/dispatcher/attempt.go
@@ -38,11 +38,12 @@
 		if err != nil {
 			return err
 		}
-		j.target, j.placedAfter = c.Target.Name, time.Since(j.start)
+		j.target, j.began, j.placedAfter = c.Target.Name, false, time.Since(j.start)
 		err = d.startable(j)
 		if err == nil {
 			err = d.runAt(ctx, j, c)
 		}
+		d.began(j)
 		d.ended(c.Target.Name, errors.Is(err, errElsewhere) && !errors.Is(err, errDraining))
 		if errors.Is(err, errClaimed) {
 			err = d.follow(ctx, j)
@@ -262,7 +263,7 @@
 	if f.Head != nil {
 		if f.Head.Load != nil {
 			d.mu.Lock()
-			d.observeLoad(f.Head.Load)
+			d.observeLoad(0, f.Head.Load)
 			d.mu.Unlock()
 		}
 		if err := j.head(f.Head); err != nil {
@@ -275,6 +276,9 @@
 	if f.Offset > j.position {
 		return fmt.Errorf("%w: frame at %d, answer at %d", errLost, f.Offset, j.position)
 	}
+	if len(f.Tokens) > 0 {
+		d.began(j)
+	}
 	skip := j.position - f.Offset
 	if breaker.Is(breaker.Offsets) {
 		skip = 0
--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -114,14 +114,15 @@
 		d.router.Lost(d.bySidecar[r.Address])
 		return
 	}
-	d.observeLoad(r.Message.Load)
+	d.observeLoad(r.RTT/2, r.Message.Load)
 }
 
-func (d *Dispatcher) observeLoad(l *wire.Load) {
+// observeLoad takes a report that was made that long ago.
+func (d *Dispatcher) observeLoad(age time.Duration, l *wire.Load) {
 	if l == nil {
 		return
 	}
-	d.router.Observe(d.clock.Now(), LoadOf(l))
+	d.router.Observe(d.clock.Now(), age, LoadOf(l))
 	d.placeAll()
 }
 
@@ -151,6 +152,7 @@
 	item    scheduler.Item[*job]
 	placed  chan placement
 	target  string // the last one
+	began   bool   // whether the answer has begun there
 	start   time.Time
 
 	// charged, placed and first are how long after the start the team had
@@ -372,6 +374,7 @@
 	select {
 	case p := <-j.placed:
 		if p.failure == nil {
+			d.router.Began(d.clock.Now(), p.choice.Target.Name, j.work)
 			d.router.Ended(d.clock.Now(), p.choice.Target.Name, false)
 		}
 	default:
@@ -408,7 +411,7 @@
 			}}
 			continue
 		}
-		d.router.Sent(c.Target.Name, j.work)
+		d.router.Sent(now, c.Target.Name, j.work)
 		j.placed <- placement{choice: c}
 	}
 }
@@ -427,6 +430,18 @@
 	return d.router.Pick(now, j.work)
 }
 
+// began notes that the answer has begun at the target that it was last sent
+// to, or that it won't.
+func (d *Dispatcher) began(j *job) {
+	if j.began {
+		return
+	}
+	j.began = true
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.Began(d.clock.Now(), j.target, j.work)
+}
+
 func (d *Dispatcher) ended(target string, failed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -13,7 +13,7 @@
 	Zone string
 
 	// Sample is the number of targets weighed for one request, besides
-	// those thought to hold its prefix; 8 if zero.
+	// those thought to hold its prefix; 3 if zero.
 	Sample int
 
 	// ZoneDistance is the added time to a target in another zone; 1 ms if
@@ -38,7 +38,7 @@
 }
 
 const (
-	defaultSample       = 8
+	defaultSample       = 3
 	defaultZoneDistance = time.Millisecond
 	defaultPrefillCost  = 50 * time.Microsecond
 	defaultStepBase     = 8 * time.Millisecond
@@ -114,11 +114,15 @@
 	seen     bool
 	lost     bool
 
-	// sent counts requests and prompt tokens sent since the report, and
-	// outstanding those not yet ended.
-	sent        int
-	sentTokens  int
+	// outstanding counts this process's requests that have not ended, and
+	// unread the prompt tokens of those that have not begun.
 	outstanding int
+	unread      int
+
+	// others and othersUnread are what the last report had beyond that.
+	others       int
+	othersUnread int
+	past         past
 
 	// ejectedUntil keeps work away after failures in a row.
 	failures     int
@@ -163,14 +167,16 @@
 	return t.Group
 }
 
-// Observe takes a target's report.
-func (r *Router) Observe(now time.Duration, l radishspoke.Load) {
+// Observe takes a target's report, which is that old.
+func (r *Router) Observe(now, age time.Duration, l radishspoke.Load) {
 	t, ok := r.targets[l.Target]
 	if !ok {
 		return
 	}
 	t.load, t.reported, t.seen, t.lost = l, now, true, false
-	t.sent, t.sentTokens = 0, 0
+	mine := t.past.at(now - age)
+	t.others = max(0, l.Running+l.Waiting-mine.outstanding)
+	t.othersUnread = max(0, l.PrefillTokens-mine.unread)
 }
 
 // Lost notes that a target cannot be reached.
@@ -188,17 +194,30 @@
 }
 
 // Sent notes that a request has gone to a target.
-func (r *Router) Sent(name string, w Work) {
+func (r *Router) Sent(now time.Duration, name string, w Work) {
 	t, ok := r.targets[name]
 	if !ok {
 		return
 	}
-	t.sent++
-	t.sentTokens += w.PromptTokens
 	t.outstanding++
+	t.unread += w.PromptTokens
+	t.remember(now)
 	r.prefixes.add(name, w.Prefix)
 }
 
+// Began notes that the answer to a request sent before has begun, or that it
+// never will. It must be called once for each Sent, before Ended.
+func (r *Router) Began(now time.Duration, name string, w Work) {
+	if t, ok := r.targets[name]; ok {
+		t.unread = max(0, t.unread-w.PromptTokens)
+		t.remember(now)
+	}
+}
+
+func (t *target) remember(now time.Duration) {
+	t.past.add(share{at: now, outstanding: t.outstanding, unread: t.unread})
+}
+
 const (
 	ejectAfter = 3 // failures in a row
 	ejectTime  = 2 * time.Second
@@ -213,7 +232,8 @@
 	if !ok {
 		return
 	}
-	t.outstanding--
+	t.outstanding = max(0, t.outstanding-1)
+	t.remember(now)
 	if !failed {
 		t.failures = 0
 		return
@@ -350,10 +370,9 @@
 	return serviceSlots
 }
 
-// running is the target's corrected number of requests.
-func running(t *target) int {
-	return max(t.load.Running+t.load.Waiting+t.sent, t.outstanding)
-}
+// running is the target's number of requests: this process's own, which it
+// knows, and the others' as of the last report.
+func running(t *target) int { return t.outstanding + t.others }
 
 // room tells whether a target takes another request without a long queue.
 func (r *Router) room(t *target) bool {
@@ -375,7 +394,7 @@
 	n, slots := running(t), slotsOf(t)
 	step := s.StepBase + time.Duration(min(n+1, slots))*s.StepCost
 	cached := r.prefixes.match(t.Name, w.Prefix) * blockTokens
-	toRead := t.load.PrefillTokens + t.sentTokens + max(0, w.PromptTokens-cached)
+	toRead := t.unread + t.othersUnread + max(0, w.PromptTokens-cached)
 	first := way + time.Duration(toRead)*s.PrefillCost + step
 	if over := n + 1 - slots; over > 0 {
 		first += time.Duration(over) * time.Duration(w.OutputTokens) * step / time.Duration(slots)
--- a/coordination/router/router_test.go
+++ b/coordination/router/router_test.go
@@ -24,7 +24,7 @@
 	}
 	r.SetTargets(list)
 	for _, t := range list {
-		r.Observe(time.Second, radishspoke.Load{Target: t.Name, Role: radishspoke.BothRole})
+		r.Observe(time.Second, 0, radishspoke.Load{Target: t.Name, Role: radishspoke.BothRole})
 	}
 	return r
 }
@@ -39,38 +39,47 @@
 		want    string // "" for none
 	}{
 		{"nearest zone", func(*router.Router) {}, nil, "e0"},
-		{"least loaded", func(r *router.Router) { r.Sent("e0", work); r.Sent("e0", work) }, nil, "e1"},
-		{"sent is forgotten with a report", func(r *router.Router) {
-			r.Sent("e0", work)
+		{"least loaded", func(r *router.Router) { r.Sent(now, "e0", work); r.Sent(now, "e0", work) }, nil, "e1"},
+		{"own requests that a late report has too count once", func(r *router.Router) {
+			r.Sent(now, "e0", work)
+			r.Observe(now, 0, radishspoke.Load{Target: "e0", Running: 1, PrefillTokens: 1000})
+			r.Began(now, "e0", work)
 			r.Ended(now, "e0", false)
-			r.Observe(now, radishspoke.Load{Target: "e0"})
 		}, nil, "e0"},
+		{"own requests sent after an old report was made count", func(r *router.Router) {
+			r.Sent(now, "e0", work)
+			r.Observe(now, time.Second/2, radishspoke.Load{Target: "e0", Running: 1, PrefillTokens: 1000})
+		}, nil, "e1"},
+		{"others' requests count until the next report", func(r *router.Router) {
+			r.Observe(now, 0, radishspoke.Load{Target: "e0", Running: 2, PrefillTokens: 9000})
+		}, nil, "e1"},
 		{"lost", func(r *router.Router) { r.Lost("e0") }, nil, "e1"},
-		{"draining", func(r *router.Router) { r.Observe(now, radishspoke.Load{Target: "e0", Draining: true}) }, nil, "e1"},
+		{"draining", func(r *router.Router) { r.Observe(now, 0, radishspoke.Load{Target: "e0", Draining: true}) }, nil, "e1"},
 		{"excluded", func(*router.Router) {}, func(w router.Work) router.Work { w.Exclude = []string{"e0"}; return w }, "e1"},
 		{"ejected", func(r *router.Router) {
 			for range 3 {
-				r.Sent("e0", router.Work{})
+				r.Sent(now, "e0", router.Work{})
 				r.Ended(now, "e0", true)
 			}
 		}, nil, "e1"},
 		{"all ejected but one that is full", func(r *router.Router) {
 			for _, n := range []string{"e0", "e1"} {
 				for range 3 {
-					r.Sent(n, router.Work{})
+					r.Sent(now, n, router.Work{})
 					r.Ended(now, n, true)
 				}
 			}
 			r.Lost("e2")
 		}, nil, "e0"},
 		{"prefix held", func(r *router.Router) {
-			r.Sent("e2", router.Work{Prefix: []uint64{7}})
+			r.Sent(now, "e2", router.Work{Prefix: []uint64{7}})
+			r.Began(now, "e2", router.Work{})
 			r.Ended(now, "e2", false)
-			r.Observe(now, radishspoke.Load{Target: "e2"})
+			r.Observe(now, 0, radishspoke.Load{Target: "e2"})
 		}, func(w router.Work) router.Work { w.PromptTokens, w.Prefix = 2500, []uint64{7}; return w }, "e2"},
 		{"all full", func(r *router.Router) {
 			for _, n := range []string{"e0", "e1", "e2"} {
-				r.Observe(now, radishspoke.Load{Target: n, Running: 5})
+				r.Observe(now, 0, radishspoke.Load{Target: n, Running: 5})
 			}
 		}, nil, ""},
 		{"unknown pool", func(*router.Router) {}, func(w router.Work) router.Work { w.Pool = "x"; return w }, ""},
