Fix billing windows' length, and split what entries do into files

Cause: a test run on a loaded machine hung: a reporter that began before it had a configuration numbered windows by one minute, and then had 47 million windows of 15 s to freeze. An operator's edit of the length would have done the same.

Change: windows are one minute, for good, and no rule any more; a step freezes at most 60.

--- a/coordination/dispatcher/dispatcher.go
+++ b/coordination/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"radishspoke/coordination/scheduler"
 	"radishspoke/protocol/wire"
 	"radishspoke/transport/connector"
+	"radishspoke/transport/ticker"
 )
 
 // Settings of a Dispatcher.
@@ -470,14 +471,10 @@
 	d.mu.Lock()
 	p := retrier.Pause(try, d.random)
 	d.mu.Unlock()
-	t := time.NewTimer(p)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
+	if !ticker.Sleep(ctx, p) {
 		return fmt.Errorf("pause before a retry: %w", ctx.Err())
-	case <-t.C:
-		return nil
 	}
+	return nil
 }
 
 // TargetView is what this entry knows of one target.
--- a/coordination/executor/run.go
+++ b/coordination/executor/run.go
@@ -11,6 +11,7 @@
 
 	"radishspoke"
 	"radishspoke/protocol/wire"
+	"radishspoke/transport/ticker"
 )
 
 var errNoReader = errors.New("request's body was cut short")
@@ -89,12 +90,7 @@
 		return
 	}
 	now := time.Now()
-	t := time.NewTimer(now.Truncate(x.settings.Pace).Add(x.settings.Pace).Sub(now))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	ticker.Sleep(ctx, now.Truncate(x.settings.Pace).Add(x.settings.Pace).Sub(now))
 }
 
 func (x *Executor) call(ctx context.Context, r *record, q *wire.Execute, upload *bodyPipe) (*wire.End, error) {
--- a/coordination/fencer/fencer.go
+++ b/coordination/fencer/fencer.go
@@ -10,6 +10,7 @@
 
 	"radishspoke"
 	"radishspoke/coordination/executor"
+	"radishspoke/transport/ticker"
 )
 
 // ErrNotReady says that the newest epoch is not known yet.
@@ -88,12 +89,8 @@
 		case <-f.wake:
 		}
 		for !f.settle(ctx) {
-			t := time.NewTimer(retryPause)
-			select {
-			case <-ctx.Done():
-				t.Stop()
+			if !ticker.Sleep(ctx, retryPause) {
 				return
-			case <-t.C:
 			}
 		}
 	}
--- a/coordination/limiter/limiter.go
+++ b/coordination/limiter/limiter.go
@@ -10,6 +10,7 @@
 
 	"radishspoke"
 	"radishspoke/protocol/wire"
+	"radishspoke/transport/ticker"
 )
 
 // Errors of Charge.
@@ -232,12 +233,7 @@
 		if pause <= 0 {
 			continue
 		}
-		t := time.NewTimer(pause)
-		select {
-		case <-l.ctx.Done():
-			t.Stop()
-		case <-t.C:
-		}
+		ticker.Sleep(l.ctx, pause)
 	}
 }
 
--- a/coordination/reporter/reporter.go
+++ b/coordination/reporter/reporter.go
@@ -63,7 +63,7 @@
 
 // Step freezes the windows that are due and reports those that are frozen.
 func (r *Reporter) Step(ctx context.Context) error {
-	for {
+	for range mostWindows {
 		more, err := r.freeze(ctx, time.Now())
 		if err != nil {
 			return err
@@ -72,14 +72,18 @@
 			break
 		}
 	}
-	for {
+	for range mostWindows {
 		more, err := r.report(ctx)
 		if err != nil || !more {
 			return err
 		}
 	}
+	return nil
 }
 
+// mostWindows bounds the windows that one step freezes and reports.
+const mostWindows = 60
+
 // freeze makes up the figures of the next window if it is due. It tells
 // whether another one may be.
 func (r *Reporter) freeze(ctx context.Context, now time.Time) (bool, error) {
--- /dev/null
+++ b/internal/assembler/budget.go
@@ -0,0 +1,120 @@
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"radishspoke"
+	"radishspoke/internal/breaker"
+	"radishspoke/protocol/encoder"
+	"radishspoke/protocol/wire"
+	"radishspoke/state/tracker"
+	"radishspoke/transport/connector"
+)
+
+// budgetShards is the number of rights over which the teams' budgets are
+// spread.
+const budgetShards = 16
+
+func shardOf(team string) string {
+	return shardName(tracker.Weight("budget", team) % budgetShards)
+}
+
+func shardName(n uint64) string { return fmt.Sprintf("budget-%02d", n) }
+
+func shardNames() []string {
+	out := make([]string, budgetShards)
+	for i := range out {
+		out[i] = shardName(uint64(i))
+	}
+	return out
+}
+
+// rankNames orders entries for a right.
+func rankNames(right string, names []string) []string {
+	members := make([]radishspoke.Member, len(names))
+	for i, n := range names {
+		members[i].Name = n
+	}
+	out := make([]string, 0, len(names))
+	for _, m := range tracker.Rank(right, members) {
+		out = append(out, m.Name)
+	}
+	return out
+}
+
+// tenure tells whether this entry owns a team's budget.
+func (e *Entry) tenure(team string) (id int64, since time.Duration, ok bool) {
+	if breaker.Is(breaker.Tenures) {
+		return 1, e.env.Clock.Now() - time.Minute, true
+	}
+	right := shardOf(team)
+	id, ok = e.voter.Holds(right)
+	return id, e.voter.Since(right), ok
+}
+
+func (e *Entry) handleBudget(_ context.Context, q *wire.Budget) (*wire.BudgetReply, error) {
+	r := e.owner.Handle(q)
+	if !r.Owner {
+		r.Holder = e.voter.Holder(shardOf(q.Team))
+	}
+	return r, nil
+}
+
+// askBudget asks the entry that owns a team's budget. Any voter knows it.
+func (e *Entry) askBudget(ctx context.Context, q *wire.Budget) (*wire.BudgetReply, error) {
+	if _, _, ok := e.tenure(q.Team); ok {
+		return e.owner.Handle(q), nil
+	}
+	shard := shardOf(q.Team)
+	tried := map[string]bool{e.settings.Process.Name: true}
+	next := e.voter.Holder(shard)
+	for _, name := range append([]string{next}, rankNames(shard, e.voter.Set().Members)...) {
+		for name != "" && !tried[name] {
+			tried[name] = true
+			r, err := e.budgetFrom(ctx, name, q)
+			if err != nil {
+				break
+			}
+			if r.Owner {
+				return r, nil
+			}
+			name = r.Holder
+		}
+	}
+	return nil, fmt.Errorf("budget of team %s: %w", q.Team, errNoOwner)
+}
+
+var errNoOwner = errors.New("no entry owns it now")
+
+// budgetTimeout bounds one question, so that an owner that is gone leaves
+// time to ask another.
+const budgetTimeout = 500 * time.Millisecond
+
+func (e *Entry) budgetFrom(ctx context.Context, name string, q *wire.Budget) (*wire.BudgetReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, budgetTimeout)
+	defer cancel()
+	return callEntry[wire.BudgetReply](ctx, e, name, budgetMethod, q)
+}
+
+// callEntry calls the entry of that name.
+func callEntry[P any, MP encoder.Message[P]](ctx context.Context, e *Entry, name, method string, q proto.Message) (MP, error) {
+	for _, m := range e.tracker.Members() {
+		if m.Name == name {
+			return connector.Call[P, MP](ctx, e.pool, m.Address, method, q)
+		}
+	}
+	return nil, fmt.Errorf("call %s: %w", name, radishspoke.ErrNotFound)
+}
+
+func (e *Entry) askVote(ctx context.Context, name string, q *wire.Vote) (*wire.VoteReply, error) {
+	return callEntry[wire.VoteReply](ctx, e, name, voteMethod, q)
+}
+
+func (e *Entry) handleVote(_ context.Context, q *wire.Vote) (*wire.VoteReply, error) {
+	return e.voter.Handle(q), nil
+}
--- a/internal/assembler/dev.go
+++ b/internal/assembler/dev.go
@@ -43,6 +43,7 @@
 	env     Environment
 	network func(process string) radishspoke.Network
 	starts  uint64
+	window  time.Duration
 	servers []*http.Server
 	group   sync.WaitGroup
 }
@@ -65,6 +66,9 @@
 	// names are those of the processes, "platform", and those of targets.
 	Network func(process string) radishspoke.Network
 
+	// UsageWindow is the length of a billing window; one minute if zero.
+	UsageWindow time.Duration
+
 	// ProbeInterval and ProbeTimeout are of every process; 1 s and 2 s if
 	// zero.
 	ProbeInterval time.Duration
@@ -87,7 +91,7 @@
 	}
 	d := &Dev{
 		Platform: fake.NewPlatform(), Engines: map[string]*fake.Engine{}, Ledgers: map[string]*fake.Ledger{},
-		Sidecars: map[string]*Sidecar{}, Secrets: map[string]string{}, env: env, network: s.Network,
+		Sidecars: map[string]*Sidecar{}, Secrets: map[string]string{}, env: env, network: s.Network, window: s.UsageWindow,
 	}
 	if d.network == nil {
 		d.network = func(string) radishspoke.Network { return env.Network }
@@ -220,6 +224,7 @@
 
 func (d *Dev) environment(process string, n uint64) Environment {
 	env := d.env
+	env.UsageWindow = d.window
 	env.Network = d.network(process)
 	d.starts++
 	env.Seed = env.Seed*seedFactor + n + d.starts<<startShift
--- a/internal/assembler/entry.go
+++ b/internal/assembler/entry.go
@@ -21,7 +21,6 @@
 	"radishspoke/coordination/voter"
 	"radishspoke/coordination/voucher"
 	"radishspoke/protocol/encoder"
-	"radishspoke/protocol/wire"
 	"radishspoke/state/parser"
 	"radishspoke/state/tracker"
 	"radishspoke/transport/connector"
@@ -120,14 +119,14 @@
 		e.elector.Run(ctx, e.timers)
 	})
 	e.run(func(ctx context.Context) { e.voter.Run(ctx, e.timers) })
-	e.run(e.keeperLoop)
-	e.run(e.reportLoop)
-	e.run(e.planLoop)
+	e.every(keeperInterval, "voters not changed", e.keepVoters)
+	e.every(reportInterval, "usage not reported", e.report)
+	e.every(planInterval, "engines not planned", e.plan)
 	e.run(func(ctx context.Context) {
 		e.meter.Run(ctx, e.timers, func(err error) { e.log.Warn("usage not written", "error", err) })
 	})
 	e.run(e.pollLoop)
-	e.run(e.keepLoop)
+	e.every(e.settings.Sessions.ProbeInterval, "sessions not kept", e.keepSessions)
 	return nil
 }
 
@@ -197,202 +196,6 @@
 
 func (e *Entry) ready() bool { return !e.leaving.Load() && e.watcher.Version() > 0 }
 
-// probe makes the probe that goes to every peer.
-func (e *Entry) probe() *wire.Probe {
-	return &wire.Probe{
-		Process: e.settings.Process.Name, ConfigVersion: e.watcher.Version(), FreshAgeMs: ageMillis(e.watcher.Age()),
-		Incarnation: e.incarnation, UsageThrough: e.meter.Through(),
-	}
-}
-
-// count records the usage of one answer.
-func (e *Entry) count(team string, u radishspoke.Usage) uint64 {
-	e.recorder.Tokens(team, u.Output)
-	return e.meter.Add(team, u)
-}
-
-// answer replies to a peer's probe.
-func (e *Entry) answer(*wire.Probe) *wire.ProbeReply {
-	return &wire.ProbeReply{
-		Process: e.settings.Process.Name, ConfigVersion: e.watcher.Version(), FreshAgeMs: ageMillis(e.watcher.Age()),
-		Incarnation: e.incarnation,
-	}
-}
-
-// observe takes what a probe brought back. It must not block.
-func (e *Entry) observe(r connector.Reply) {
-	e.dispatcher.Observe(r)
-	if !e.note(r) {
-		return
-	}
-	asked := e.timers.Now() - r.RTT
-	e.voucher.Heard(r.Message.Process, voucher.Report{Version: r.Message.ConfigVersion, At: asked})
-	e.watcher.Prove(r.Message.ConfigVersion, asked-time.Duration(r.Message.FreshAgeMs)*time.Millisecond)
-}
-
-// note keeps a sidecar's version and exchanges configuration. It tells whether
-// the reply is another entry's.
-func (e *Entry) note(r connector.Reply) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if r.Message == nil {
-		delete(e.sidecars, r.Address)
-		return false
-	}
-	e.exchangeConfig(r)
-	if r.Message.Load != nil {
-		e.sidecars[r.Address] = r.Message.ConfigVersion
-	}
-	_, peer := e.peers[r.Address]
-	return peer
-}
-
-// exchangeConfig brings the configuration to a peer that has an older one, or
-// takes it from one that has a newer.
-func (e *Entry) exchangeConfig(r connector.Reply) {
-	mine, theirs := e.watcher.Version(), r.Message.ConfigVersion
-	if mine == theirs || e.ctx.Err() != nil {
-		return
-	}
-	e.run(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, e.settings.Sessions.ProbeTimeout)
-		defer cancel()
-		var err error
-		if mine > theirs {
-			err = e.pushTo(ctx, r.Address)
-		} else {
-			err = e.fetchFrom(ctx, r.Address)
-		}
-		if err != nil && ctx.Err() == nil {
-			e.log.Warn("configuration not exchanged", "address", r.Address, "error", err)
-		}
-	})
-}
-
-func (e *Entry) pushTo(ctx context.Context, address string) error {
-	version, hash, data := e.watcher.Packed()
-	_, err := connector.Call[wire.Ack](ctx, e.pool, address, pushMethod, &wire.ConfigDocument{Version: version, Hash: hash, Document: data})
-	return err
-}
-
-func (e *Entry) fetchFrom(ctx context.Context, address string) error {
-	c, err := connector.Call[wire.ConfigDocument](ctx, e.pool, address, fetchMethod, &wire.FetchConfig{NewerThan: e.watcher.Version()})
-	if err != nil {
-		return err
-	}
-	return e.watcher.AcceptPacked(c.Version, c.Hash, c.Document)
-}
-
-// pollLoop reads the configuration's row, less often the more entries there
-// are.
-func (e *Entry) pollLoop(ctx context.Context) {
-	random := e.random(pollDuty)
-	for {
-		if err := e.watcher.Poll(ctx); err != nil && ctx.Err() == nil {
-			e.log.Warn("configuration not read", "error", err)
-		}
-		if err := e.readVoters(ctx); err != nil && ctx.Err() == nil {
-			e.log.Warn("voters not read", "error", err)
-		}
-		mean := max(leastPollInterval, time.Duration(len(e.tracker.Entries()))*time.Second/pollRate)
-		t := time.NewTimer(mean/2 + time.Duration(random.Int64N(int64(mean))))
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return
-		case <-t.C:
-		}
-	}
-}
-
-// keepLoop holds sessions to sidecars and to some of the other entries.
-func (e *Entry) keepLoop(ctx context.Context) {
-	ticks, stop := e.timers.Every(e.settings.Sessions.ProbeInterval)
-	defer stop()
-	for {
-		e.pool.Keep(e.wantedSessions())
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-		}
-	}
-}
-
-// wantedSessions returns the addresses to hold sessions to.
-func (e *Entry) wantedSessions() []string {
-	var out []string
-	peers := map[string]string{}
-	entries := e.tracker.Entries()
-	names := make([]string, 0, len(entries))
-	for _, m := range entries {
-		names = append(names, m.Name)
-	}
-	if e.watcher.Age() < voucher.Bound {
-		e.voucher.SetEntries(names)
-	}
-	for _, m := range tracker.Rank(e.settings.Process.Name, entries) {
-		if m.Name != e.settings.Process.Name && (len(entries) <= smallFleet || len(peers) < gossipPeers) {
-			peers[m.Address] = m.Name
-			out = append(out, m.Address)
-		}
-	}
-	e.mu.Lock()
-	e.peers = peers
-	e.mu.Unlock()
-	if c := e.watcher.Current(); c != nil {
-		out = append(out, e.wantedSidecars(c.Inventory.Targets)...)
-	}
-	return out
-}
-
-// smallFleet is the number of entries up to which each keeps a session to
-// every other.
-const smallFleet = 16
-
-// wantedSidecars returns the sidecars of every target, or of a part of each
-// pool when there are many.
-func (e *Entry) wantedSidecars(targets []radishspoke.Target) []string {
-	part := min(1, float64(maxSessions)/float64(max(1, len(targets))))
-	var out []string
-	for _, t := range targets {
-		w := float64(tracker.Weight(e.settings.Process.Name, t.Name)) / float64(1<<63) / 2
-		if w <= part {
-			out = append(out, t.Sidecar)
-		}
-	}
-	return out
-}
-
-// EntryStatus is what an entry says of itself to operators.
-type EntryStatus struct {
-	Name          string                   `json:"name"`
-	Kind          string                   `json:"kind"`
-	Zone          string                   `json:"zone"`
-	ConfigVersion int64                    `json:"config_version"`
-	ConfigAge     string                   `json:"config_age"`
-	Standing      bool                     `json:"standing"`
-	Leaving       bool                     `json:"leaving"`
-	Running       int                      `json:"running"`
-	Waiting       int                      `json:"waiting"`
-	Leases        map[string]elector.Lease `json:"leases"`
-	Rights        []string                 `json:"rights"`
-	Voters        []string                 `json:"voters"`
-	Targets       []dispatcher.TargetView  `json:"targets"`
-}
-
-// Status returns the entry's status.
-func (e *Entry) Status() EntryStatus {
-	all, waiting := e.dispatcher.Running()
-	age := e.watcher.Age()
-	return EntryStatus{
-		Name: e.settings.Process.Name, Kind: tracker.EntryKind, Zone: e.settings.Process.Zone,
-		ConfigVersion: e.watcher.Version(), ConfigAge: age.Truncate(time.Millisecond).String(),
-		Standing: e.voucher.Standing(e.watcher.Version(), age), Leaving: e.leaving.Load(),
-		Running: all, Waiting: waiting, Leases: e.elector.Held(), Rights: e.voter.Held(), Voters: e.voter.Set().Members, Targets: e.dispatcher.Targets(),
-	}
-}
-
 // balancerNotice is how long an entry that leaves goes on taking requests, so
 // that the platform's balancer sees that it is no longer ready.
 const balancerNotice = 5 * time.Second
--- /dev/null
+++ b/internal/assembler/entrystatus.go
@@ -0,0 +1,38 @@
+package assembler
+
+import (
+	"time"
+
+	"radishspoke/coordination/dispatcher"
+	"radishspoke/coordination/elector"
+	"radishspoke/state/tracker"
+)
+
+// EntryStatus is what an entry says of itself to operators.
+type EntryStatus struct {
+	Name          string                   `json:"name"`
+	Kind          string                   `json:"kind"`
+	Zone          string                   `json:"zone"`
+	ConfigVersion int64                    `json:"config_version"`
+	ConfigAge     string                   `json:"config_age"`
+	Standing      bool                     `json:"standing"`
+	Leaving       bool                     `json:"leaving"`
+	Running       int                      `json:"running"`
+	Waiting       int                      `json:"waiting"`
+	Leases        map[string]elector.Lease `json:"leases"`
+	Rights        []string                 `json:"rights"`
+	Voters        []string                 `json:"voters"`
+	Targets       []dispatcher.TargetView  `json:"targets"`
+}
+
+// Status returns the entry's status.
+func (e *Entry) Status() EntryStatus {
+	all, waiting := e.dispatcher.Running()
+	age := e.watcher.Age()
+	return EntryStatus{
+		Name: e.settings.Process.Name, Kind: tracker.EntryKind, Zone: e.settings.Process.Zone,
+		ConfigVersion: e.watcher.Version(), ConfigAge: age.Truncate(time.Millisecond).String(),
+		Standing: e.voucher.Standing(e.watcher.Version(), age), Leaving: e.leaving.Load(),
+		Running: all, Waiting: waiting, Leases: e.elector.Held(), Rights: e.voter.Held(), Voters: e.voter.Set().Members, Targets: e.dispatcher.Targets(),
+	}
+}
--- a/internal/assembler/harness_test.go
+++ b/internal/assembler/harness_test.go
@@ -89,7 +89,6 @@
 [rules]
 drain-timeout = 30s
 max-output = 2000
-usage-window = 15s
 `
 
 // bed is a deployment on a network in memory, inside a synctest bubble.
@@ -121,7 +120,7 @@
 
 func newBed(t *testing.T, change func(*DevSettings)) *bed {
 	b := &bed{C: qt.New(t), network: fake.NewNetwork()}
-	b.settings = DevSettings{Inventory: []byte(testInventory), Network: b.network.Host}
+	b.settings = DevSettings{Inventory: []byte(testInventory), Network: b.network.Host, UsageWindow: 15 * time.Second}
 	if change != nil {
 		change(&b.settings)
 	}
--- a/internal/assembler/process.go
+++ b/internal/assembler/process.go
@@ -35,6 +35,11 @@
 
 	// Seed starts the process's random numbers.
 	Seed uint64
+
+	// UsageWindow is the length of a billing window,
+	// radishspoke.UsageWindowLength if zero. Tests shorten it; it must be
+	// the same in every process, for good.
+	UsageWindow time.Duration
 }
 
 // The methods that entries serve to one another and to sidecars.
@@ -107,6 +112,24 @@
 	}()
 }
 
+// every starts a duty that is done each period, until the process ends.
+func (p *process) every(period time.Duration, failed string, duty func(ctx context.Context) error) {
+	p.run(func(ctx context.Context) {
+		ticks, stop := p.timers.Every(period)
+		defer stop()
+		for {
+			if err := duty(ctx); err != nil && ctx.Err() == nil {
+				p.log.Warn(failed, "error", err)
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticks:
+			}
+		}
+	})
+}
+
 // listen opens a listener that is closed with the process.
 func (p *process) listen(address string) (net.Listener, error) {
 	l, err := p.env.Network.Listen(address)
@@ -217,12 +240,8 @@
 			return
 		}
 		p.log.Warn("not announced", "error", err)
-		t := time.NewTimer(announceRetry)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !ticker.Sleep(ctx, announceRetry) {
 			return
-		case <-t.C:
 		}
 	}
 }
@@ -259,10 +278,8 @@
 
 // usageWindow returns the length of a billing window.
 func (p *process) usageWindow() time.Duration {
-	if c := p.watcher.Current(); c != nil {
-		return c.Inventory.Rules.UsageWindow
+	if p.env.UsageWindow > 0 {
+		return p.env.UsageWindow
 	}
-	return defaultUsageWindow
+	return radishspoke.UsageWindowLength
 }
-
-const defaultUsageWindow = time.Minute
--- a/internal/assembler/sidecar.go
+++ b/internal/assembler/sidecar.go
@@ -17,6 +17,7 @@
 	"radishspoke/state/tracker"
 	"radishspoke/transport/adapter"
 	"radishspoke/transport/listener"
+	"radishspoke/transport/ticker"
 )
 
 // Sidecar is the process beside one target. Make it with NewSidecar.
@@ -90,12 +91,8 @@
 			err = fmt.Errorf("target %q is not in configuration %d", c.settings.Sidecar.Target, v.Version)
 		}
 		c.log.Warn("target not known yet", "error", err)
-		t := time.NewTimer(firstPollRetry)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !ticker.Sleep(ctx, firstPollRetry) {
 			return fmt.Errorf("wait for target %s: %w", c.settings.Sidecar.Target, ctx.Err())
-		case <-t.C:
 		}
 	}
 }
@@ -146,7 +143,7 @@
 	c.recorder.Gauge("requests_running", func() float64 { n, _ := c.executor.Running(); return float64(n) })
 	c.run(func(ctx context.Context) { c.announceLoop(ctx, c.announce(tracker.SidecarKind, false)) })
 	c.run(c.pollLoop)
-	c.run(c.witnessLoop)
+	c.every(meter.FlushInterval, "usage not written", c.writeOrphans)
 	if c.engine != nil {
 		c.run(c.learnEpoch)
 		c.run(c.fencer.Run)
@@ -165,12 +162,8 @@
 			return
 		}
 		c.log.Warn("planner's epoch not read", "error", err)
-		t := time.NewTimer(firstPollRetry)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !ticker.Sleep(ctx, firstPollRetry) {
 			return
-		case <-t.C:
 		}
 	}
 }
@@ -188,23 +181,12 @@
 	return r, nil
 }
 
-// witnessLoop writes the usage that entries which have ended left unrecorded.
-func (c *Sidecar) witnessLoop(ctx context.Context) {
-	ticks, stop := c.timers.Every(meter.FlushInterval)
-	defer stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-		}
-		if err := c.findGone(ctx); err != nil && ctx.Err() == nil {
-			c.log.Warn("entries not looked up", "error", err)
-		}
-		if err := c.witness.Flush(ctx); err != nil && ctx.Err() == nil {
-			c.log.Warn("usage not written", "error", err)
-		}
+// writeOrphans writes the usage that entries which have ended left unrecorded.
+func (c *Sidecar) writeOrphans(ctx context.Context) error {
+	if err := c.findGone(ctx); err != nil {
+		return err
 	}
+	return c.witness.Flush(ctx)
 }
 
 // entrySilence is how long an entry is silent before the platform is asked
@@ -237,12 +219,8 @@
 func (c *Sidecar) pollLoop(ctx context.Context) {
 	random := c.random(pollDuty)
 	for {
-		t := time.NewTimer(slowPollInterval/2 + time.Duration(random.Int64N(int64(slowPollInterval))))
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if !ticker.Sleep(ctx, slowPollInterval/2+time.Duration(random.Int64N(int64(slowPollInterval)))) {
 			return
-		case <-t.C:
 		}
 		if err := c.watcher.Poll(ctx); err != nil && ctx.Err() == nil {
 			c.log.Warn("configuration not read", "error", err)
--- a/inventory.go
+++ b/inventory.go
@@ -133,9 +133,6 @@
 	// MaxOutput bounds the tokens of one answer and is the estimate for
 	// requests that name none.
 	MaxOutput int `ini:"max-output" default:"1024" min:"1" max:"1000000"`
-
-	// UsageWindow is the length of one billing window.
-	UsageWindow time.Duration `ini:"usage-window" default:"1m" min:"1" max:"86400"`
 }
 
 // Inventory is what operators edit: the fleet, the teams and the rules.
--- a/transport/ticker/ticker.go
+++ b/transport/ticker/ticker.go
@@ -1,6 +1,7 @@
 package ticker
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -68,3 +69,16 @@
 		<-done
 	}
 }
+
+// Sleep waits for d, or until ctx ends. It tells whether the whole time has
+// passed.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/usage.go
+++ b/usage.go
@@ -29,6 +29,10 @@
 	s.Output += o.Output
 }
 
+// UsageWindowLength is the length of a billing window. Windows are numbered by
+// it, so it can't be changed.
+const UsageWindowLength = time.Minute
+
 // UsageWindow is the number of the billing window that a moment lies in.
 func UsageWindow(at time.Time, length time.Duration) int64 { return at.UnixNano() / int64(length) }
 
