--- /dev/null
+++ b/coordination/dispatcher/budget.go
@@ -0,0 +1,54 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishspoke"
+	"radishspoke/coordination/limiter"
+)
+
+// charge takes the request's upper cost from its team's budget.
+func (d *Dispatcher) charge(ctx context.Context, j *job) (limiter.Receipt, error) {
+	q := j.request
+	if q.Team == "" || j.cost == 0 {
+		return limiter.Receipt{}, nil
+	}
+	r, err := d.limiter.Charge(ctx, q.Team, j.cost, time.Until(q.Deadline))
+	var limited *limiter.LimitedError
+	switch {
+	case err == nil:
+		return r, nil
+	case errors.As(err, &limited):
+		return limiter.Receipt{}, &radishspoke.Failure{
+			Outcome: radishspoke.OutcomeNotRun, Status: http.StatusTooManyRequests, Code: "rate_limited",
+			Message: fmt.Sprintf("team %s is at its rate", q.Team), RetryAfter: max(time.Second, limited.RetryAfter),
+		}
+	case errors.Is(err, limiter.ErrTooLarge):
+		return limiter.Receipt{}, &radishspoke.Failure{
+			Outcome: radishspoke.OutcomeNotRun, Status: http.StatusBadRequest, Code: "request_too_large",
+			Message: fmt.Sprintf("team %s: %v", q.Team, err),
+		}
+	}
+	return limiter.Receipt{}, fmt.Errorf("charge team %s: %w", q.Team, err)
+}
+
+// settle gives back the part of the charge that was not used. What may have
+// run without an end is charged in full, but for a service call.
+func (d *Dispatcher) settle(j *job, r limiter.Receipt, err error) {
+	if len(r.Parts) == 0 {
+		return
+	}
+	used := j.cost
+	switch {
+	case !j.started:
+		used = 0
+	case j.request.Generation != nil && err == nil:
+		used = radishspoke.TokenCost(j.work.PromptTokens, int(j.position))
+	}
+	d.limiter.Settle(j.request.Team, r, used)
+}
--- /dev/null
+++ b/coordination/executor/admit.go
@@ -0,0 +1,72 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"radishspoke/internal/breaker"
+	"radishspoke/protocol/wire"
+)
+
+// admit returns the record of a request, new or known, or why there is none.
+func (x *Executor) admit(q *wire.Execute) (*record, *bodyPipe, *wire.Failure) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if r, ok := x.records[q.RequestId]; ok && !breaker.Is(breaker.Records) {
+		return r, nil, nil
+	}
+	restarted := q.Incarnation != 0 && q.Incarnation != x.settings.Incarnation && !breaker.Is(breaker.Incarnations)
+	if q.Attach && restarted {
+		return nil, nil, &wire.Failure{Outcome: wire.Outcome_OUTCOME_UNKNOWN, Reason: "the sidecar was restarted", Elsewhere: true}
+	}
+	if reason := x.refusal(q, restarted); reason != "" {
+		x.refuse(q.RequestId, reason)
+		return nil, nil, &wire.Failure{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: reason, Elsewhere: true, Draining: x.draining()}
+	}
+	r := newRecord(q.RequestId, q.Idempotent, q.Generation != nil, q.Offset)
+	x.records[q.RequestId] = r
+	x.running++
+	ctx, cancel := context.WithTimeout(x.ctx, time.Duration(q.RemainingMs)*time.Millisecond)
+	r.cancel = cancel
+	var upload *bodyPipe
+	if q.Call != nil {
+		upload = newBodyPipe()
+	}
+	x.group.Add(1)
+	go func() {
+		defer x.group.Done()
+		defer cancel()
+		x.run(ctx, r, q, upload)
+	}()
+	return r, upload, nil
+}
+
+// refusal tells why a request that is not known is not started, or "".
+func (x *Executor) refusal(q *wire.Execute, restarted bool) string {
+	switch {
+	case q.Attach:
+		return "the request never came"
+	case restarted:
+		return "the sidecar was restarted"
+	case x.draining():
+		return "the target is draining"
+	case len(x.records) >= x.settings.MaxRecords:
+		return "the sidecar remembers too many requests"
+	case q.RemainingMs <= 0:
+		return "the deadline has passed"
+	case q.Generation != nil && x.engine == nil, q.Call != nil && x.service == nil, q.Generation == nil && q.Call == nil:
+		return "the target is of another kind"
+	}
+	return ""
+}
+
+// refuse leaves a record that keeps the id from ever running here.
+func (x *Executor) refuse(id, reason string) {
+	if len(x.records) >= x.settings.MaxRecords || breaker.Is(breaker.Tombstones) {
+		return
+	}
+	r := newRecord(id, false, true, 0)
+	r.failure = &wire.Failure{Outcome: wire.Outcome_OUTCOME_NOT_RUN, Reason: reason, Elsewhere: true}
+	r.finished = time.Now()
+	x.records[id] = r
+}
--- a/coordination/router/router.go
+++ b/coordination/router/router.go
@@ -87,16 +87,6 @@
 	Exclude []string
 }
 
-// Choice is a target with the times that an answer is expected to take there:
-// to its first token, to its end if it is as long as those before it, and to
-// its end if it is as long as it may be.
-type Choice struct {
-	Target     radishspoke.Target
-	FirstToken time.Duration
-	Expected   time.Duration
-	Total      time.Duration
-}
-
 // Router chooses targets. It is a pure core: it must be called by one
 // goroutine at a time. Make it with New.
 type Router struct {
@@ -226,21 +216,6 @@
 	t.past.add(share{at: now, outstanding: t.outstanding, unread: t.unread})
 }
 
-// lengthMemory is the part that one answer has in the mean length.
-const lengthMemory = 0.02
-
-// Learn notes the length of a whole answer.
-func (r *Router) Learn(w Work, output int) {
-	if w.OutputTokens <= 0 {
-		return
-	}
-	part := float64(output) / float64(w.OutputTokens)
-	if mean, ok := r.lengths[w.Pool]; ok {
-		part = mean + lengthMemory*(part-mean)
-	}
-	r.lengths[w.Pool] = part
-}
-
 const (
 	ejectAfter = 3 // failures in a row
 	ejectTime  = 2 * time.Second
@@ -317,24 +292,6 @@
 	return Choice{}, false
 }
 
-// Soonest returns the shortest expected time of w over the pool's targets,
-// with or without room, and false if none can be reached.
-func (r *Router) Soonest(now time.Duration, w Work) (Choice, bool) {
-	best, found := Choice{}, false
-	for _, t := range r.pools[w.Pool] {
-		if !r.usable(now, t, w) {
-			continue
-		}
-		if c := r.estimate(t, w); !found || c.Total < best.Total {
-			best, found = c, true
-		}
-	}
-	return best, found
-}
-
-// Has tells whether the pool has any target, reachable or not.
-func (r *Router) Has(pool string) bool { return len(r.pools[pool]) > 0 }
-
 // sample returns the targets to weigh: those that hold the longest prefix,
 // and random ones.
 func (r *Router) sample(w Work) []*target {
@@ -385,77 +342,3 @@
 	}
 	return false
 }
-
-func slotsOf(t *target) int {
-	if t.Kind == radishspoke.EngineTarget {
-		return t.Slots
-	}
-	return serviceSlots
-}
-
-// running is the target's number of requests: this process's own, which it
-// knows, and the others' as of the last report.
-func running(t *target) int { return t.outstanding + t.others }
-
-// room tells whether a target takes another request without a long queue.
-func (r *Router) room(t *target) bool {
-	slots := slotsOf(t)
-	return running(t) < slots+max(1, int(float64(slots)*r.settings.Overflow))
-}
-
-// estimate returns the time that w is expected to take at t.
-func (r *Router) estimate(t *target, w Work) Choice {
-	s := r.settings
-	way := time.Duration(0)
-	if t.Zone != s.Zone {
-		way = s.ZoneDistance
-	}
-	if t.Kind == radishspoke.ServiceTarget {
-		d := way + time.Duration(running(t))*s.StepCost
-		return Choice{Target: t.Target, FirstToken: d, Expected: d, Total: d}
-	}
-	n, slots := running(t), slotsOf(t)
-	step := s.StepBase + time.Duration(min(n+1, slots))*s.StepCost
-	cached := r.prefixes.match(t.Name, w.Prefix) * blockTokens
-	toRead := t.unread + t.othersUnread + max(0, w.PromptTokens-cached)
-	first := way + time.Duration(toRead)*s.PrefillCost + step
-	if over := n + 1 - slots; over > 0 {
-		first += time.Duration(over) * time.Duration(w.OutputTokens) * step / time.Duration(slots)
-	}
-	length := r.lengths[w.Pool] * float64(w.OutputTokens)
-	return Choice{
-		Target: t.Target, FirstToken: first,
-		Expected: first + time.Duration(length)*step, Total: first + time.Duration(w.OutputTokens)*step,
-	}
-}
-
-// View is what a router knows of one target.
-type View struct {
-	Target      radishspoke.Target
-	Load        radishspoke.Load
-	Reachable   bool
-	Ejected     bool
-	Outstanding int
-	ReportAge   time.Duration
-}
-
-// Views returns what is known of every target, in the order they were set.
-func (r *Router) Views(now time.Duration) []View {
-	out := make([]View, 0, len(r.order))
-	for _, t := range r.order {
-		out = append(out, View{
-			Target: t.Target, Load: t.load, Reachable: t.seen && !t.lost, Ejected: now < t.ejectedUntil,
-			Outstanding: t.outstanding, ReportAge: now - t.reported,
-		})
-	}
-	return out
-}
-
-// Target returns the target of that name and whether there is one.
-func (r *Router) Target(name string) (radishspoke.Target, bool) {
-	t, ok := r.targets[name]
-	if !ok {
-		return radishspoke.Target{}, false
-	}
-	return t.Target, true
-}
