--- a/internal/breaker/doc.go
+++ b/internal/breaker/doc.go
@@ -47,6 +47,9 @@
 	// renewal was sent.
 	Sends Switch = "sends"
 
+	// Lost takes a write whose answer was lost for one that failed.
+	Lost Switch = "lost"
+
 	// Standing trusts keys however old the configuration is.
 	Standing Switch = "standing"
 )
--- a/state/storer/storer.go
+++ b/state/storer/storer.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"radishspoke"
+	"radishspoke/internal/breaker"
 	"radishspoke/transport"
 )
 
@@ -86,6 +87,9 @@
 		sealed[i] = radishspoke.Write{Key: w.Key, Value: v, Version: w.Version}
 	}
 	err := c.do(ctx, http.MethodPost, "transactions", sealed, nil)
+	if errors.Is(err, radishspoke.ErrUnavailable) && breaker.Is(breaker.Lost) {
+		return radishspoke.ErrConflict
+	}
 	if errors.Is(err, radishspoke.ErrUnavailable) && len(writes) > 0 {
 		err = c.resolve(ctx, id, writes[0], err)
 	}
