Say that a budget can't be reached, not that the team is at its rate

Cause: a request that waited in vain for a budget's owner was refused with 429 rate_limited, or 504 once its deadline had passed, which says nothing true about the team.

Change: 503 budget_unreachable, not run, with Retry-After of the time in which a right finds a new holder.

Seen: TestNoOwner failed with 504 before; passes now.

--- a/coordination/dispatcher/budget.go
+++ b/coordination/dispatcher/budget.go
@@ -28,6 +28,11 @@
 			Outcome: radishspoke.OutcomeNotRun, Status: http.StatusTooManyRequests, Code: "rate_limited",
 			Message: fmt.Sprintf("team %s is at its rate", q.Team), RetryAfter: max(time.Second, limited.RetryAfter),
 		}
+	case errors.Is(err, limiter.ErrUnreachable):
+		return limiter.Receipt{}, &radishspoke.Failure{
+			Outcome: radishspoke.OutcomeNotRun, Status: http.StatusServiceUnavailable, Code: "budget_unreachable",
+			Message: fmt.Sprintf("team %s: %v", q.Team, err), RetryAfter: budgetRetryAfter,
+		}
 	case errors.Is(err, limiter.ErrTooLarge):
 		return limiter.Receipt{}, &radishspoke.Failure{
 			Outcome: radishspoke.OutcomeNotRun, Status: http.StatusBadRequest, Code: "request_too_large",
@@ -52,3 +57,7 @@
 	}
 	d.limiter.Settle(j.request.Team, r, used)
 }
+
+// budgetRetryAfter is when a budget without an owner has one again, if the
+// voters can be reached.
+const budgetRetryAfter = 6 * time.Second
--- a/coordination/limiter/limiter.go
+++ b/coordination/limiter/limiter.go
@@ -22,6 +22,10 @@
 	// ErrLimited says that the team's rate does not let the request through
 	// before its deadline.
 	ErrLimited = errors.New("team's rate is used up")
+
+	// ErrUnreachable says that nobody who owns the team's budget answered
+	// before the request's deadline.
+	ErrUnreachable = errors.New("team's budget can't be reached")
 )
 
 // LimitedError is an ErrLimited with the time to come back after.
@@ -74,6 +78,7 @@
 	// refunding is set while refunds wait for a question to go with.
 	refunding bool
 	most      float64 // largest charge the owner can grant, 0 if not known
+	silent    bool    // the last question got no answer from an owner
 
 	// demand is the recent rate of charges, in tokens per second.
 	demand   float64
@@ -110,8 +115,8 @@
 }
 
 // Charge takes cost from the team's budget. It waits if need be until wait
-// has passed. The error is ErrTooLarge, ErrLimited or that of ctx; nothing
-// has been charged then.
+// has passed. The error is ErrTooLarge, ErrLimited, ErrUnreachable or that of
+// ctx; nothing has been charged then.
 func (l *Limiter) Charge(ctx context.Context, team string, cost float64, wait time.Duration) (Receipt, error) {
 	now := l.clock.Now()
 	l.mu.Lock()
@@ -152,6 +157,9 @@
 	if len(w.receipt.Parts) > 0 {
 		a.refunds = append(a.refunds, w.receipt.Settle(0)...)
 	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return Receipt{}, a.late()
+	}
 	return Receipt{}, fmt.Errorf("wait for budget: %w", err)
 }
 
@@ -274,7 +282,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	if err != nil || !r.Owner {
+	a.silent = err != nil || !r.Owner
+	if a.silent {
 		a.serve(now, nil)
 		return askRetry
 	}
@@ -325,7 +334,7 @@
 			blocked = true
 		}
 		if now >= w.deadline {
-			w.end(Receipt{}, &LimitedError{RetryAfter: headTime})
+			w.end(Receipt{}, a.late())
 			continue
 		}
 		kept = append(kept, w)
@@ -333,6 +342,14 @@
 	a.waiting = kept
 }
 
+// late tells why a waiter's time is up.
+func (a *account) late() error {
+	if a.silent {
+		return ErrUnreachable
+	}
+	return &LimitedError{RetryAfter: headTime}
+}
+
 func (w *waiter) end(r Receipt, err error) {
 	w.receipt, w.err = r, err
 	close(w.done)
--- a/internal/assembler/authority_test.go
+++ b/internal/assembler/authority_test.go
@@ -259,3 +259,21 @@
 		b.mustBeWhole(<-running, prompt, 1000)
 	}
 }
+
+// TestNoOwner cuts an entry off from the others, so that it can reach no
+// owner. It must say so at the deadline, and not that the team is at its rate.
+func TestNoOwner(t *testing.T) {
+	inBubble(t, func(s *DevSettings) { s.Entries = 3 }, func(b *bed) {
+		time.Sleep(settleTime)
+		b.network.Isolate("entry-1", "entry-2", "entry-3")
+		time.Sleep(10 * time.Second)
+		start := time.Now()
+		r := b.call(0, "POST", "/v1/chat/completions", "small", chatBody("hello", 5), map[string]string{"Radishspoke-Deadline": "3s"})
+		b.Assert(r.status, qt.Equals, 503, qt.Commentf("%s", r.text))
+		b.Assert(r.text, qt.Contains, "budget_unreachable")
+		b.Assert(r.outcome(), qt.Equals, "not-run")
+		b.Assert(r.header.Get("Retry-After"), qt.Equals, "6")
+		b.Assert(time.Since(start) < 4*time.Second, qt.IsTrue)
+		b.Assert(b.chat(1, "small", "hello", 5).done, qt.IsTrue)
+	})
+}
