--- a/coordination/elector/main_test.go
+++ b/coordination/elector/main_test.go
@@ -1,16 +1,9 @@
 package elector_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"radishspoke/internal/checker"
 )
 
-// TestMain sets how many schedules a property is checked on, and their
-// length, unless the command line does.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.checks", "3000")
-	_ = flag.Set("rapid.steps", "80")
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { checker.Main(m) }
--- a/internal/assembler/input_test.go
+++ b/internal/assembler/input_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -138,3 +139,32 @@
 		b.Assert(b.Ledgers["ledger"].Recorded(), qt.HasLen, 0)
 	})
 }
+
+// TestSlowReader takes nothing of a long answer for a while. Meanwhile no more
+// of it may be held than a few buffers; then it must come whole. A caller that
+// never reads is cut.
+func TestSlowReader(t *testing.T) {
+	const lines, line, held = 2 << 20, 8, 4 << 20 // 16 MiB in all, at most 4 held
+	edit := func(s *DevSettings) {
+		s.Inventory = []byte(strings.Replace(string(s.Inventory), "idempotent = yes\ndeadline = 5s", "idempotent = yes\ndeadline = 5m", 1))
+	}
+	inBubble(t, edit, func(b *bed) {
+		path := fmt.Sprintf("/stock/list?lines=%d", lines)
+		a, err := b.client.Do(b.request(0, http.MethodGet, path, "big", "", nil))
+		b.Assert(err, qt.IsNil)
+		defer func() { _ = a.Body.Close() }()
+		time.Sleep(20 * time.Second)
+		b.Assert(b.Ledgers["ledger"].Sent() < held, qt.IsTrue, qt.Commentf("%d bytes", b.Ledgers["ledger"].Sent()))
+		text, err := io.ReadAll(a.Body)
+		b.Assert(err, qt.IsNil)
+		b.Assert(len(text), qt.Equals, lines*line)
+		b.Assert(string(text[len(text)-line:]), qt.Equals, fmt.Sprintf("%07d\n", lines-1))
+
+		idle, err := b.client.Do(b.request(0, http.MethodGet, path, "big", "", nil))
+		b.Assert(err, qt.IsNil)
+		time.Sleep(2 * time.Minute)
+		_, err = io.ReadAll(idle.Body)
+		b.Assert(err, qt.IsNotNil)
+		_ = idle.Body.Close()
+	})
+}
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -1,8 +1,10 @@
 package fake
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -29,6 +31,7 @@
 	mu       sync.Mutex
 	recorded []Reservation
 	reads    int
+	sent     int // bytes of long answers
 	keysSeen []string
 }
 
@@ -50,6 +53,7 @@
 // Handler serves the ledger.
 func (l *Ledger) Handler() http.Handler {
 	r := mux.NewRouter()
+	r.HandleFunc("/stock/list", l.getList).Methods(http.MethodGet)
 	r.PathPrefix("/stock/").Methods(http.MethodGet).HandlerFunc(l.getStock)
 	r.PathPrefix("/").Methods(http.MethodPost).HandlerFunc(l.postOrder)
 	r.Use(l.noteCredentials)
@@ -75,6 +79,31 @@
 	writeJSON(w, map[string]any{"item": r.URL.Path[len("/stock/"):], "reserved": n})
 }
 
+// Sent returns the bytes of long answers that were written so far.
+func (l *Ledger) Sent() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent
+}
+
+// getList answers with as many lines of eight bytes as are asked for.
+func (l *Ledger) getList(w http.ResponseWriter, r *http.Request) {
+	lines, err := strconv.Atoi(r.URL.Query().Get("lines"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	for i := range lines {
+		n, err := fmt.Fprintf(w, "%07d\n", i)
+		if err != nil {
+			return
+		}
+		l.mu.Lock()
+		l.sent += n
+		l.mu.Unlock()
+	}
+}
+
 func (l *Ledger) postOrder(w http.ResponseWriter, r *http.Request) {
 	b, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/state/parser/inventory.go
+++ b/state/parser/inventory.go
@@ -46,28 +46,28 @@
 	}
 	switch kind {
 	case "zone":
-		b.Zones = append(b.Zones, radishspoke.Zone{Name: name})
-		b.decode(section, &b.Zones[len(b.Zones)-1], nil)
+		addSection(b, &b.Zones, section, radishspoke.Zone{Name: name})
 	case "host":
-		b.Hosts = append(b.Hosts, radishspoke.Host{Name: name})
-		b.decode(section, &b.Hosts[len(b.Hosts)-1], nil)
+		addSection(b, &b.Hosts, section, radishspoke.Host{Name: name})
 	case "model":
-		b.Models = append(b.Models, radishspoke.Model{Name: name})
-		b.decode(section, &b.Models[len(b.Models)-1], nil)
+		addSection(b, &b.Models, section, radishspoke.Model{Name: name})
 	case "target":
-		b.Targets = append(b.Targets, radishspoke.Target{Name: name})
-		b.decode(section, &b.Targets[len(b.Targets)-1], nil)
+		addSection(b, &b.Targets, section, radishspoke.Target{Name: name})
 	case "team":
-		b.Teams = append(b.Teams, radishspoke.Team{Name: name})
-		b.decode(section, &b.Teams[len(b.Teams)-1], nil)
+		addSection(b, &b.Teams, section, radishspoke.Team{Name: name})
 	case "route":
-		b.Routes = append(b.Routes, radishspoke.Route{Name: name})
-		b.decode(section, &b.Routes[len(b.Routes)-1], nil)
+		addSection(b, &b.Routes, section, radishspoke.Route{Name: name})
 	default:
 		b.fault(b.sections[section], section, "", "rules take no name")
 	}
 }
 
+// addSection decodes a section into e and appends that to a list.
+func addSection[T any](b *inventoryBuilder, list *[]T, section string, e T) {
+	b.decode(section, &e, nil)
+	*list = append(*list, e)
+}
+
 // link checks what one section says of another.
 func (b *inventoryBuilder) link() {
 	zones := names(b.Zones, func(z radishspoke.Zone) string { return z.Name })
