Serve the users' platform through platform/

Cause: the product ran against its own fakes only; the users' hosts, store, engines and callers speak a protocol of their own.

Ruled out: bodies through the sidecar (one more hop and one more process that can fail on each request); a store lease for orders to engines (a holder that is frozen and wakes would take turns with its successor). The sidecar alone orders its engine, and all sidecars plan from the same list of targets.

Change: platform/ decodes settings, rows, headers and calls into the product's types. New in the product: caller (connections to targets that tell what was sent), follower (configuration and targets), gossiper (what entries tell each other), timekeeper, pooler (limits over all entries), biller (usage), placer, usher (turns at engines), forwarder (the way of a request). The daemon picks the platform when its settings variable is set.

Tests of the new packages are not written yet.

--- a/cmd/radishspoked/daemon.go
+++ b/cmd/radishspoked/daemon.go
@@ -31,6 +31,9 @@
 			"Example:\n   radishspoked entry --settings examples/entry.ini",
 		Flags: []cli.Flag{settingsFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if path, ok := onPlatform(c); ok {
+				return runFleetEntry(ctx, path)
+			}
 			s, err := parser.LoadSettings(c.String("settings"))
 			if err != nil {
 				return err
@@ -56,6 +59,9 @@
 			"Example:\n   radishspoked sidecar --settings examples/sidecar.ini",
 		Flags: []cli.Flag{settingsFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if path, ok := onPlatform(c); ok {
+				return runFleetSidecar(ctx, path)
+			}
 			s, err := parser.LoadSettings(c.String("settings"))
 			if err != nil {
 				return err
--- a/cmd/radishspoked/main.go
+++ b/cmd/radishspoked/main.go
@@ -48,7 +48,7 @@
 
 func settingsFlag() cli.Flag {
 	return &cli.StringFlag{
-		Name: "settings", Aliases: []string{"s"}, Usage: "read settings from `FILE`", Required: true,
+		Name: "settings", Aliases: []string{"s"}, Usage: "read settings from `FILE`; not needed where the platform gives its own",
 		Sources: cli.EnvVars(parser.EnvPrefix + "SETTINGS"),
 	}
 }
--- /dev/null
+++ b/coordination/forwarder/stream.go
@@ -0,0 +1,149 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishspoke/coordination/placer"
+	"radishspoke/platform"
+	"radishspoke/transport/caller"
+)
+
+// stream has an engine generate and passes the events on. When it ends with
+// again, the request goes on at another engine, after the last event.
+func (f *Forwarder) stream(ctx context.Context, j *job, s *sink, from prompt) (verdict, string) {
+	t, source := *from.engine, from.handle
+	began := f.Clock.Now()
+	turn := func(took time.Duration) {
+		if from.done != nil {
+			from.done(took)
+		}
+	}
+	defer turn(0)
+	j.visit(t)
+	f.Placer.Begin(t.ID)
+	each, p := f.patience(ctx, j)
+	defer p.end()
+	r, err := f.send(each, j, t, platform.Outgoing{Source: source})
+	if err != nil {
+		f.Placer.End(t.ID, report(ctx, nil, err))
+		lost := !errors.Is(err, caller.ErrNotSent)
+		if lost {
+			f.ran(j)
+			f.Targets.Forget(t.Address)
+		} else {
+			f.free(source)
+		}
+		return f.judge(ctx, j, lost), err.Error()
+	}
+	turn(f.Clock.Now() - began)
+	defer r.Close()
+	if r.NotRun {
+		f.Placer.End(t.ID, report(ctx, r, nil))
+		f.free(source)
+		return f.judge(ctx, j, false), "engine does not take the request now"
+	}
+	news := report(ctx, r, nil)
+	defer func() { f.Placer.End(t.ID, news) }()
+	j.sent = true
+	j.tries++
+	if !r.Stamped {
+		return f.judge(ctx, j, true), "answer does not come from a target"
+	}
+	if r.Status != http.StatusOK {
+		if j.idempotent() && f.judge(ctx, j, true) == again {
+			return again, "engine failed"
+		}
+		if s.started {
+			return final, "engine failed"
+		}
+		if err := s.whole(r.Status, r.Header, r); err != nil {
+			return final, err.Error()
+		}
+		return final, ""
+	}
+	err = f.events(j, s, r, p)
+	if err == nil {
+		return final, ""
+	}
+	news.Failed, news.Unasked = true, ctx.Err() != nil
+	return f.judge(ctx, j, true), err.Error()
+}
+
+// stall is the longest pause in a stream before it goes on at another engine.
+// Callers leave after two seconds.
+const stall = 800 * time.Millisecond
+
+// events passes the events of a stream on. The error is of the engine's side,
+// or says that the caller has left.
+func (f *Forwarder) events(j *job, s *sink, r *reply, p *patience) error {
+	var held []byte
+	buffer := make([]byte, copyBuffer)
+	for {
+		p.extend(stall)
+		n, err := r.Read(buffer)
+		held = append(held, buffer[:n]...)
+		if end := bytes.LastIndex(held, eventEnd); end >= 0 {
+			end += len(eventEnd)
+			if err := f.pass(j, s, r, held[:end]); err != nil {
+				return err
+			}
+			held = append(held[:0], held[end:]...)
+		}
+		if errors.Is(err, io.EOF) {
+			return f.pass(j, s, r, held)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// pass sends whole events to the caller.
+func (f *Forwarder) pass(j *job, s *sink, r *reply, events []byte) error {
+	if len(events) == 0 {
+		if !s.started {
+			s.head(r.Status, r.Header)
+		}
+		return nil
+	}
+	if !s.started {
+		f.begin(j)
+		f.Recorder.FirstToken(j.team.Name, j.rule.Name, f.Clock.Now()-j.arrived)
+		s.head(r.Status, r.Header)
+	}
+	if err := s.write(events); err != nil {
+		return err
+	}
+	if id := lastID(events); id != "" {
+		j.in.LastEvent = id
+	}
+	return nil
+}
+
+var (
+	eventEnd = []byte("\n\n")
+	idField  = []byte("\nid:")
+)
+
+// lastID returns the last id among events, or "".
+func lastID(events []byte) string {
+	i := bytes.LastIndex(events, idField)
+	switch {
+	case i >= 0:
+		events = events[i+len(idField):]
+	case bytes.HasPrefix(events, idField[1:]):
+		events = events[len(idField)-1:]
+	default:
+		return ""
+	}
+	line, _, _ := bytes.Cut(events, []byte("\n"))
+	return string(bytes.TrimSpace(line))
+}
+
+var _ Placer = (*placer.Placer)(nil)
--- a/coordination/retrier/retrier.go
+++ b/coordination/retrier/retrier.go
@@ -12,6 +12,7 @@
 	mu    sync.Mutex
 	ratio float64
 	saved float64
+	most  float64
 }
 
 const (
@@ -20,7 +21,11 @@
 )
 
 // New returns a Budget of ratio retries for each request.
-func New(ratio float64) *Budget { return &Budget{ratio: ratio, saved: firstSaved} }
+func New(ratio float64) *Budget { return &Budget{ratio: ratio, saved: firstSaved, most: mostSaved} }
+
+// NewBounded returns a Budget of ratio retries for each request that saves up
+// at most most, and has them at the start.
+func NewBounded(ratio, most float64) *Budget { return &Budget{ratio: ratio, saved: most, most: most} }
 
 // SetRatio changes the ratio.
 func (b *Budget) SetRatio(ratio float64) {
@@ -33,7 +38,7 @@
 func (b *Budget) Request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.saved = min(mostSaved, b.saved+b.ratio)
+	b.saved = min(b.most, b.saved+b.ratio)
 }
 
 // Retry takes one retry, if there is one.
--- /dev/null
+++ b/coordination/usher/usher.go
@@ -0,0 +1,220 @@
+package usher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"radishspoke"
+)
+
+// ErrHopeless says that a request can't be answered before its deadline.
+var ErrHopeless = errors.New("no turn before the deadline")
+
+// Settings of an Usher.
+type Settings struct {
+	// Window is the most prompts under way at one engine; 1 if zero.
+	Window int
+
+	// LateShare is the number of turns of which one goes to a late request
+	// while others are waiting that can be on time; 4 if zero.
+	LateShare int
+
+	// Pace is what a turn is expected to take before any was measured;
+	// 15 ms if zero, the time of a prompt of 6,000 tokens.
+	Pace time.Duration
+}
+
+const (
+	defaultWindow    = 1
+	defaultLateShare = 4
+	defaultPace      = 15 * time.Millisecond
+	paceWeight       = 0.2 // of the newest turn in the mean
+	mostPace         = 500 * time.Millisecond
+)
+
+func (s *Settings) fill() {
+	if s.Window == 0 {
+		s.Window = defaultWindow
+	}
+	if s.LateShare == 0 {
+		s.LateShare = defaultLateShare
+	}
+	if s.Pace == 0 {
+		s.Pace = defaultPace
+	}
+}
+
+// Ticket is one request for a turn. Times are of the usher's clock.
+type Ticket struct {
+	Rank     int           // lower goes first among those on time
+	OnTime   time.Duration // until when an answer is on time
+	Deadline time.Duration // until when it is of any use
+	Rest     time.Duration // what is left to do after the turn
+
+	granted chan error
+	queue   *queue
+}
+
+// queue is one engine's.
+type queue struct {
+	waiting []*Ticket
+	busy    int
+	pace    time.Duration // mean time of a turn
+	granted int           // turns since the last late one
+}
+
+// Usher orders the prompts of one process. Its methods may be called at once
+// from many goroutines. Make it with New.
+type Usher struct {
+	settings Settings
+	clock    radishspoke.Clock
+
+	mu     sync.Mutex
+	queues map[string]*queue // by engine
+}
+
+// New returns an Usher without requests.
+func New(s Settings, c radishspoke.Clock) *Usher {
+	s.fill()
+	return &Usher{settings: s, clock: c, queues: map[string]*queue{}}
+}
+
+// Expect returns how long a new request would wait for its turn at an engine,
+// and take it.
+func (u *Usher) Expect(engine string) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	q, ok := u.queues[engine]
+	if !ok {
+		return u.settings.Pace
+	}
+	return time.Duration(1+(len(q.waiting)+q.busy)/u.settings.Window) * q.pace
+}
+
+// Wait waits for a turn. Done must be called when the turn is over, with the
+// time that it took, or 0 if that says nothing of the engine. The error is
+// ErrHopeless or that of ctx.
+func (u *Usher) Wait(ctx context.Context, engine string, t Ticket) (done func(took time.Duration), err error) {
+	t.granted = make(chan error, 1)
+	u.mu.Lock()
+	q, ok := u.queues[engine]
+	if !ok {
+		q = &queue{pace: u.settings.Pace}
+		u.queues[engine] = q
+	}
+	if q.hopeless(&t, u.clock.Now(), u.settings.Window) {
+		u.mu.Unlock()
+		return nil, ErrHopeless
+	}
+	t.queue = q
+	q.waiting = append(q.waiting, &t)
+	u.grant(q)
+	u.mu.Unlock()
+	select {
+	case err = <-t.granted:
+	case <-ctx.Done():
+		err = u.leave(&t, ctx.Err())
+	}
+	if err != nil {
+		return nil, err
+	}
+	var once sync.Once
+	return func(took time.Duration) {
+		once.Do(func() { u.done(q, took) })
+	}, nil
+}
+
+// leave takes a ticket out of its queue. A turn that it got meanwhile is given
+// back.
+func (u *Usher) leave(t *Ticket, why error) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for i, w := range t.queue.waiting {
+		if w == t {
+			t.queue.waiting = append(t.queue.waiting[:i], t.queue.waiting[i+1:]...)
+			return why
+		}
+	}
+	if err := <-t.granted; err != nil {
+		return err
+	}
+	t.queue.busy--
+	u.grant(t.queue)
+	return why
+}
+
+func (u *Usher) done(q *queue, took time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	q.busy--
+	if took > 0 {
+		took = min(took, mostPace)
+		q.pace += time.Duration(paceWeight * float64(took-q.pace))
+	}
+	u.grant(q)
+}
+
+// grant gives out the free turns of a queue.
+func (u *Usher) grant(q *queue) {
+	now := u.clock.Now()
+	q.dismiss(now)
+	for q.busy < u.settings.Window && len(q.waiting) > 0 {
+		i := q.next(now, u.settings.LateShare)
+		t := q.waiting[i]
+		q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+		q.busy++
+		t.granted <- nil
+	}
+}
+
+// hopeless tells whether a new request is not expected to get its turn before
+// its deadline, behind all that are waiting.
+func (q *queue) hopeless(t *Ticket, now time.Duration, window int) bool {
+	ahead := time.Duration((len(q.waiting)+q.busy)/window) * q.pace
+	return now+ahead+q.pace+t.Rest > t.Deadline
+}
+
+// dismiss sends away those that can't be answered before their deadline.
+func (q *queue) dismiss(now time.Duration) {
+	n := 0
+	for _, t := range q.waiting {
+		if now+q.pace+t.Rest > t.Deadline {
+			t.granted <- ErrHopeless
+			continue
+		}
+		q.waiting[n] = t
+		n++
+	}
+	clear(q.waiting[n:])
+	q.waiting = q.waiting[:n]
+}
+
+// next returns the index of the request whose turn it is.
+func (q *queue) next(now time.Duration, lateShare int) int {
+	timely, late := -1, -1
+	for i, t := range q.waiting {
+		if now+q.pace+t.Rest <= t.OnTime {
+			if timely < 0 || before(t, q.waiting[timely]) {
+				timely = i
+			}
+		} else if late < 0 || t.Deadline < q.waiting[late].Deadline {
+			late = i
+		}
+	}
+	if timely >= 0 && (late < 0 || q.granted < lateShare-1) {
+		q.granted++
+		return timely
+	}
+	q.granted = 0
+	return late
+}
+
+func before(a, b *Ticket) bool {
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	return a.OnTime < b.OnTime
+}
--- /dev/null
+++ b/internal/assembler/fleetentry.go
@@ -0,0 +1,359 @@
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"radishspoke"
+	"radishspoke/coordination/authenticator"
+	"radishspoke/coordination/biller"
+	"radishspoke/coordination/elector"
+	"radishspoke/coordination/forwarder"
+	"radishspoke/coordination/placer"
+	"radishspoke/coordination/pooler"
+	"radishspoke/coordination/retrier"
+	"radishspoke/coordination/usher"
+	"radishspoke/platform"
+	"radishspoke/protocol/wire"
+	"radishspoke/state/follower"
+	"radishspoke/state/gossiper"
+	"radishspoke/state/recorder"
+	"radishspoke/state/timekeeper"
+	"radishspoke/transport/caller"
+	"radishspoke/transport/ticker"
+)
+
+// FleetEntry is an entry on the users' platform. Make it with NewFleetEntry.
+type FleetEntry struct {
+	settings platform.Settings
+	env      Environment
+
+	client    *platform.Client
+	table     *platform.Table
+	follower  *follower.Follower
+	keys      *authenticator.Authenticator
+	placer    *placer.Placer
+	usher     *usher.Usher
+	caller    *caller.Caller
+	gossiper  *gossiper.Gossiper
+	pooler    *pooler.Pooler
+	biller    *biller.Biller
+	elector   *elector.Elector
+	time      *timekeeper.Timekeeper
+	recorder  *recorder.Recorder
+	repeats   *repeats
+	callers   *http.Server
+	ready     *http.Server
+	datagrams net.PacketConn
+
+	leaving atomic.Bool
+	stop    context.CancelFunc
+	tasks   sync.WaitGroup
+}
+
+// Ports of an entry, counted from the first one for the system's own traffic.
+const gossipPort = 0
+
+// Times of an entry.
+const (
+	// keyMargin is taken off the time for which a proof that the
+	// configuration is the newest holds; it covers clocks of different speed.
+	keyMargin = 300 * time.Millisecond
+
+	// headerTime bounds the arrival of a request's headers.
+	headerTime = 10 * time.Second
+
+	// callerIdle is how long callers' connections may stay idle; callers
+	// reuse them within the idle time that the operators state.
+	callerIdle = 2 * time.Minute
+
+	mostHeaders = 64 << 10 // bytes
+
+	billInterval  = 500 * time.Millisecond
+	sweepInterval = time.Second
+
+	// repeatShare is the part of the allowed repeats that entries use: what
+	// they know of each other lags.
+	repeatShare = 0.7
+
+	// usageLease outlasts the least time between two holders, with the
+	// margin on both sides.
+	usageLease  = 6 * time.Second
+	usageMargin = time.Second
+
+	// reporters is the number of entries that stand by for the duty.
+	reporters = 2
+)
+
+// NewFleetEntry returns an entry that is not serving yet.
+func NewFleetEntry(s platform.Settings, env Environment) (*FleetEntry, error) {
+	e := &FleetEntry{settings: s, env: env, recorder: recorder.New()}
+	clock := env.Clock
+	e.client = platform.New(s, env.Network, clock)
+	e.table = platform.NewTable(e.client)
+	e.time = timekeeper.New(e.table, clock)
+	e.client.Observe(e.time.Observe)
+	e.keys = authenticator.New(e.standing)
+	e.placer = placer.New(placer.Settings{Zone: s.Zone}, clock, rand.New(rand.NewPCG(env.Seed, 1)))
+	e.usher = usher.New(usher.Settings{}, clock)
+	e.caller = caller.New(caller.Settings{}, env.Network, clock)
+	e.follower = follower.New(follower.Settings{}, e.client, clock, env.Log, e.configure, e.placer.List)
+	e.pooler = pooler.New(pooler.Settings{Window: s.Bounds.LimitWindow}, clock, e.peers)
+	e.repeats = &repeats{settings: s.Bounds, entries: func() int { return len(e.gossiper.Peers()) + 1 }, budgets: map[string]*retrier.Budget{}}
+	e.elector = elector.New(elector.Settings{Name: s.Name, Duration: usageLease, Margin: usageMargin}, e.table, clock, e.wanted, env.Log)
+	e.biller = biller.New(biller.Settings{Window: s.Bounds.UsageWindow}, e.table,
+		intake{client: e.client, holder: s.Name}, e.time.Now, func() (int64, bool) { return e.elector.Holds(biller.Duty) }, env.Log)
+	address := net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort+gossipPort))
+	datagrams, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for datagrams: %w", err)
+	}
+	e.datagrams = datagrams
+	e.gossiper = gossiper.New(gossiper.Settings{Process: s.Name, Address: address}, e.table, datagrams, clock, env.Log, e.tell, e.hear)
+	f := forwarder.New(forwarder.Parts{
+		Tables: e.follower, Keys: e.keys, Limits: e.pooler, Repeats: e.repeats, Usage: e.biller, Placer: e.placer,
+		Turns: e.usher, Targets: e.caller, Recorder: e.recorder, Clock: clock, Log: env.Log,
+	})
+	logger := slog.NewLogLogger(env.Log.Handler(), slog.LevelDebug)
+	e.callers = &http.Server{
+		Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle, MaxHeaderBytes: mostHeaders, ErrorLog: logger,
+	}
+	r := mux.NewRouter()
+	r.HandleFunc("/readiness", e.serveReady)
+	r.Handle("/metrics", e.recorder)
+	e.ready = &http.Server{Handler: r, ReadHeaderTimeout: headerTime, ErrorLog: logger}
+	return e, nil
+}
+
+// Start begins to serve.
+func (e *FleetEntry) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	timers := ticker.New(e.env.Clock)
+	for _, l := range []struct {
+		server  *http.Server
+		address string
+	}{{e.ready, e.settings.Ready}, {e.callers, e.settings.Callers}} {
+		n, err := e.env.Network.Listen(l.address)
+		if err != nil {
+			cancel()
+			return err
+		}
+		e.run(func() { _ = l.server.Serve(n) }) // ends when the server is closed
+	}
+	e.run(func() { e.follower.RunConfiguration(ctx) })
+	e.run(func() { e.follower.RunInstances(ctx) })
+	e.run(func() { e.gossiper.RunDiscovery(ctx) })
+	e.run(func() { e.gossiper.RunSend(ctx, timers) })
+	e.run(e.gossiper.RunReceive)
+	e.run(func() { e.elector.Run(ctx, timers) })
+	e.run(func() { e.bill(ctx, timers) })
+	e.run(func() { e.sweep(ctx, timers) })
+	e.env.Log.Info("entry started", "process", e.settings.Name, "zone", e.settings.Zone)
+	return nil
+}
+
+func (e *FleetEntry) run(f func()) { e.tasks.Go(f) }
+
+// Times of a planned stop, within the platform's grace.
+const (
+	// noticeTime is how long the platform may take to see that an entry is
+	// not ready: two checks a second apart, and their answers.
+	noticeTime = 2200 * time.Millisecond
+
+	// stopMargin is what is left of the grace when the last connections are
+	// closed.
+	stopMargin = 700 * time.Millisecond
+)
+
+// Stop ends the entry so that no request is cut: it says that it is not ready,
+// serves until no more callers come, and asks those that are connected to
+// leave.
+func (e *FleetEntry) Stop() {
+	began := e.env.Clock.Now()
+	e.leaving.Store(true)
+	e.env.Log.Info("entry stops", "process", e.settings.Name)
+	time.Sleep(noticeTime)
+	e.callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Bounds.Grace-stopMargin-(e.env.Clock.Now()-began))
+	defer cancel()
+	if err := e.callers.Shutdown(ctx); err != nil {
+		e.env.Log.Warn("requests cut at the end of the grace", "error", err)
+		_ = e.callers.Close()
+	}
+	e.gossiper.Leave()
+	time.Sleep(2 * gossipInterval) // the last counts reach the others
+	e.stop()
+	_ = e.ready.Close()
+	_ = e.datagrams.Close()
+	e.tasks.Wait()
+	e.env.Log.Info("entry stopped", "process", e.settings.Name)
+}
+
+// gossipInterval is the time between two datagrams to a peer.
+const gossipInterval = 200 * time.Millisecond
+
+func (e *FleetEntry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if e.leaving.Load() || e.follower.Table() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// standing tells whether keys can be trusted: the configuration was the newest
+// within the time in which a withdrawn key must stop working.
+func (e *FleetEntry) standing() bool {
+	b := e.settings.Bounds
+	return !b.StrictRevoke || e.env.Clock.Now()-e.follower.Proof() < b.Revoke-keyMargin
+}
+
+// configure takes a new configuration.
+func (e *FleetEntry) configure(t *radishspoke.RoutingTable) {
+	var keys []radishspoke.Key
+	for _, team := range t.Teams {
+		for _, h := range team.Keys {
+			keys = append(keys, radishspoke.Key{Team: team.Name, Hash: h})
+		}
+	}
+	e.keys.Configure(keys)
+}
+
+// peers returns the entries that limits are shared with.
+func (e *FleetEntry) peers() []pooler.Peer {
+	list := e.gossiper.Peers()
+	out := make([]pooler.Peer, len(list))
+	for i, p := range list {
+		out[i].Silent = !p.Live
+	}
+	return out
+}
+
+// wanted returns the rank of this process for the duty of reporting usage.
+func (e *FleetEntry) wanted() map[string]int {
+	if e.leaving.Load() {
+		return nil
+	}
+	rank := 0
+	for _, p := range e.gossiper.Peers() {
+		if p.Live && p.Process < e.settings.Name {
+			rank++
+		}
+	}
+	if _, holds := e.elector.Holds(biller.Duty); holds || rank < reporters {
+		return map[string]int{biller.Duty: rank}
+	}
+	return nil
+}
+
+// tell fills a datagram with what this entry knows.
+func (e *FleetEntry) tell(m *wire.Gossip) {
+	if t := e.follower.Table(); t != nil {
+		m.Version, m.ProofAgeUs = t.Version, (e.env.Clock.Now() - e.follower.Proof()).Microseconds()
+	}
+	for team, tokens := range e.pooler.Spent() {
+		m.Spending = append(m.Spending, &wire.Spending{Team: team, Tokens: tokens})
+	}
+	for w, c := range e.biller.Recent() {
+		m.Windows = append(m.Windows, &wire.WindowUsage{Window: w, Begun: c})
+	}
+}
+
+// hear takes the news of a datagram.
+func (e *FleetEntry) hear(n gossiper.News) {
+	e.follower.Learn(nil, n.Version, n.Proof)
+	spent := map[string]float64{}
+	for _, s := range n.Message.GetSpending() {
+		spent[s.GetTeam()] = s.GetTokens()
+	}
+	e.pooler.Heard(n.Process, n.Incarnation, spent)
+	for _, w := range n.Message.GetWindows() {
+		e.biller.Heard(n.Process, n.Incarnation, w.GetWindow(), w.GetBegun())
+	}
+}
+
+// bill reports usage until ctx ends.
+func (e *FleetEntry) bill(ctx context.Context, t radishspoke.Timers) {
+	ticks, stop := t.Every(billInterval)
+	defer stop()
+	agreed := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+		if !agreed {
+			err := e.time.Agree(ctx)
+			agreed = err == nil
+			if err != nil {
+				e.env.Log.Debug("time of day not known yet", "error", err)
+			}
+			continue
+		}
+		if err := e.biller.Step(ctx); err != nil {
+			e.env.Log.Warn("usage not reported", "error", err)
+		}
+	}
+}
+
+// sweep closes idle connections until ctx ends.
+func (e *FleetEntry) sweep(ctx context.Context, t radishspoke.Timers) {
+	ticks, stop := t.Every(sweepInterval)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+			e.caller.Sweep()
+		}
+	}
+}
+
+// intake reports usage under this process's name.
+type intake struct {
+	client *platform.Client
+	holder string
+}
+
+// ReportUsage implements biller.Intake.
+func (i intake) ReportUsage(ctx context.Context, epoch, window int64, counts map[string]int64) error {
+	return i.client.ReportUsage(ctx, platform.Tenure{Holder: i.holder, Epoch: epoch}, window, counts)
+}
+
+// repeats keeps a budget of repeated requests for each group.
+type repeats struct {
+	settings platform.Bounds
+	entries  func() int
+
+	mu      sync.Mutex
+	budgets map[string]*retrier.Budget
+}
+
+// Request implements forwarder.Repeats.
+func (r *repeats) Request(group string) { r.budget(group).Request() }
+
+// Repeat implements forwarder.Repeats.
+func (r *repeats) Repeat(group string) bool { return r.budget(group).Retry() }
+
+func (r *repeats) budget(group string) *retrier.Budget {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b, ok := r.budgets[group]
+	if !ok {
+		b = retrier.NewBounded(repeatShare*r.settings.RetryRatio, repeatShare*r.settings.RetrySlack/float64(r.entries()))
+		r.budgets[group] = b
+	}
+	return b
+}
--- /dev/null
+++ b/state/gossiper/gossiper.go
@@ -0,0 +1,387 @@
+package gossiper
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"radishspoke"
+	"radishspoke/protocol/wire"
+	"radishspoke/transport/ticker"
+)
+
+// Settings of a Gossiper.
+type Settings struct {
+	Process string
+	Address string // for datagrams
+
+	// Interval is the time between two datagrams to a peer; 200 ms if zero.
+	Interval time.Duration
+
+	// Fan is the most peers that get a datagram in one interval; 8 if zero.
+	Fan int
+
+	// Silence is how long after its last datagram a peer counts as live; 1 s
+	// if zero.
+	Silence time.Duration
+
+	// Forget is how long after its last datagram a peer's row is dropped;
+	// 20 s if zero.
+	Forget time.Duration
+
+	// Discover is the time between two reads of the peers' rows; 5 s if
+	// zero.
+	Discover time.Duration
+}
+
+const (
+	defaultInterval = 200 * time.Millisecond
+	defaultFan      = 8
+	defaultSilence  = time.Second
+	defaultForget   = 20 * time.Second
+	defaultDiscover = 5 * time.Second
+	firstDiscovery  = 500 * time.Millisecond // while peers are still starting
+	startTime       = 5 * time.Second        // during which they do
+	mostDatagram    = 60 << 10               // bytes
+	prefix          = "entry/"
+)
+
+func (s *Settings) fill() {
+	if s.Interval == 0 {
+		s.Interval = defaultInterval
+	}
+	if s.Fan == 0 {
+		s.Fan = defaultFan
+	}
+	if s.Silence == 0 {
+		s.Silence = defaultSilence
+	}
+	if s.Forget == 0 {
+		s.Forget = defaultForget
+	}
+	if s.Discover == 0 {
+		s.Discover = defaultDiscover
+	}
+}
+
+// row is the content of a process's row.
+type row struct {
+	Address     string `json:"address"`
+	Incarnation uint64 `json:"incarnation"`
+	Left        bool   `json:"left,omitempty"`
+}
+
+// News is what one datagram says, on the receiver's clock.
+type News struct {
+	Process     string
+	Incarnation uint64
+	Version     int64
+
+	// Proof is a moment at which the configuration of Version was the
+	// newest; 0 if that can't be told.
+	Proof time.Duration
+
+	Message *wire.Gossip
+}
+
+// Peer is another entry as it is known here.
+type Peer struct {
+	Process string
+	Live    bool
+
+	// Heard is when the last datagram came, or when the peer was discovered.
+	Heard time.Duration
+}
+
+// peer is the state of one other entry.
+type peer struct {
+	address     string
+	version     int64 // of the row
+	incarnation uint64
+	heard       time.Duration
+	listened    bool          // a datagram has come
+	sent        time.Duration // on the peer's clock, in its last datagram
+	leaving     bool
+}
+
+// Gossiper exchanges datagrams with the other entries. Make it with New.
+type Gossiper struct {
+	settings Settings
+	table    radishspoke.Table
+	conn     net.PacketConn
+	clock    radishspoke.Clock
+	log      *slog.Logger
+	fill     func(*wire.Gossip)
+	take     func(News)
+
+	mu          sync.Mutex
+	incarnation uint64 // 0 until this process is announced
+	peers       map[string]*peer
+	turn        int
+	joined      time.Duration
+	leave       bool
+}
+
+// New returns a Gossiper on conn. It calls fill for each datagram to send and
+// take for each that comes.
+func New(s Settings, t radishspoke.Table, conn net.PacketConn, c radishspoke.Clock, log *slog.Logger,
+	fill func(*wire.Gossip), take func(News),
+) *Gossiper {
+	s.fill()
+	return &Gossiper{
+		settings: s, table: t, conn: conn, clock: c, log: log, fill: fill, take: take,
+		peers: map[string]*peer{}, joined: c.Now(),
+	}
+}
+
+// Peers returns the other entries that are not known to have left, by name.
+func (g *Gossiper) Peers() []Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	out := make([]Peer, 0, len(g.peers))
+	for n, p := range g.peers {
+		if !p.leaving {
+			out = append(out, Peer{Process: n, Live: p.listened && now-p.heard < g.settings.Silence, Heard: p.heard})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Process < out[j].Process })
+	return out
+}
+
+// Leave makes the next datagrams say that this process leaves.
+func (g *Gossiper) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leave = true
+}
+
+// RunDiscovery announces this process and reads the rows of the others until
+// ctx ends.
+func (g *Gossiper) RunDiscovery(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := g.discover(ctx)
+		if err != nil && ctx.Err() == nil {
+			g.log.Warn("peers not discovered", "error", err)
+		}
+		pause := g.settings.Discover
+		if err != nil || g.clock.Now()-g.joined < startTime {
+			pause = firstDiscovery
+		}
+		ticker.Sleep(ctx, pause)
+	}
+}
+
+// discover takes the rows of the others, and announces this process unless its
+// row says so.
+func (g *Gossiper) discover(ctx context.Context) error {
+	rows, err := g.table.List(ctx, prefix)
+	if err != nil {
+		return fmt.Errorf("list peers: %w", err)
+	}
+	var mine row
+	version := int64(0)
+	var dead []radishspoke.Row
+	g.mu.Lock()
+	now := g.clock.Now()
+	for _, r := range rows {
+		name := strings.TrimPrefix(r.Key, prefix)
+		var content row
+		if err := json.Unmarshal(r.Value, &content); err != nil {
+			g.log.Error("peer's row unreadable", "peer", name, "error", err)
+			continue
+		}
+		if name == g.settings.Process {
+			mine, version = content, r.Version
+			continue
+		}
+		if content.Left {
+			delete(g.peers, name)
+			continue
+		}
+		p, ok := g.peers[name]
+		if !ok || p.incarnation < content.Incarnation {
+			g.log.Info("peer discovered", "peer", name, "address", content.Address, "incarnation", content.Incarnation)
+			p = &peer{incarnation: content.Incarnation, heard: now}
+			g.peers[name] = p
+		}
+		p.address, p.version = content.Address, r.Version
+		if now-p.heard > g.settings.Forget {
+			dead = append(dead, r)
+		}
+	}
+	g.mu.Unlock()
+	for _, r := range dead {
+		if err := g.bury(ctx, r); err != nil {
+			return err
+		}
+	}
+	if g.announced(mine) {
+		return nil
+	}
+	mine = row{Address: g.settings.Address, Incarnation: mine.Incarnation + 1}
+	if err := g.write(ctx, prefix+g.settings.Process, version, mine); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.incarnation = mine.Incarnation
+	return nil
+}
+
+// announced tells whether a row is of this lifetime of the process.
+func (g *Gossiper) announced(r row) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.incarnation > 0 && r.Incarnation == g.incarnation && !r.Left
+}
+
+// bury marks the row of a peer that has been silent for long.
+func (g *Gossiper) bury(ctx context.Context, r radishspoke.Row) error {
+	var content row
+	if err := json.Unmarshal(r.Value, &content); err != nil {
+		return fmt.Errorf("decode %s: %w", r.Key, err)
+	}
+	content.Left = true
+	err := g.write(ctx, r.Key, r.Version, content)
+	if errors.Is(err, radishspoke.ErrConflict) {
+		return nil // it has come back, or another process was faster
+	}
+	if err == nil {
+		g.log.Info("peer gone", "peer", strings.TrimPrefix(r.Key, prefix))
+	}
+	return err
+}
+
+func (g *Gossiper) write(ctx context.Context, key string, version int64, content row) error {
+	data, err := json.Marshal(content)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", key, err)
+	}
+	if err := g.table.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: key, Value: data, Version: version}); err != nil {
+		return fmt.Errorf("write %s: %w", key, err)
+	}
+	return nil
+}
+
+// RunSend sends datagrams until ctx ends.
+func (g *Gossiper) RunSend(ctx context.Context, t radishspoke.Timers) {
+	ticks, stop := t.Every(g.settings.Interval)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+			g.send()
+		}
+	}
+}
+
+// send sends one datagram to each of the peers whose turn it is.
+func (g *Gossiper) send() {
+	g.mu.Lock()
+	if g.incarnation == 0 {
+		g.mu.Unlock()
+		return
+	}
+	names := make([]string, 0, len(g.peers))
+	for n := range g.peers {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	type letter struct {
+		to   string
+		body *wire.Gossip
+	}
+	var letters []letter
+	now := g.clock.Now()
+	for range min(g.settings.Fan, len(names)) {
+		p := g.peers[names[g.turn%len(names)]]
+		g.turn++
+		m := &wire.Gossip{
+			Process: g.settings.Process, Incarnation: g.incarnation, SentUs: now.Microseconds(), Leaving: g.leave,
+		}
+		if p.listened {
+			m.EchoUs, m.HeldUs = p.sent.Microseconds(), (now - p.heard).Microseconds()
+		}
+		letters = append(letters, letter{p.address, m})
+	}
+	g.mu.Unlock()
+	if len(letters) == 0 {
+		return
+	}
+	shared := &wire.Gossip{}
+	g.fill(shared)
+	for _, l := range letters {
+		proto.Merge(l.body, shared)
+		data, err := proto.Marshal(l.body)
+		if err != nil {
+			g.log.Error("datagram not encoded", "error", err)
+			continue
+		}
+		to, err := net.ResolveUDPAddr("udp", l.to)
+		if err != nil {
+			g.log.Error("peer's address unusable", "address", l.to, "error", err)
+			continue
+		}
+		if _, err := g.conn.WriteTo(data, to); err != nil {
+			g.log.Debug("datagram not sent", "to", l.to, "error", err)
+		}
+	}
+}
+
+// RunReceive takes datagrams until conn is closed.
+func (g *Gossiper) RunReceive() {
+	buffer := make([]byte, mostDatagram)
+	for {
+		n, _, err := g.conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			g.log.Debug("datagram not received", "error", err)
+			continue
+		}
+		m := &wire.Gossip{}
+		if err := proto.Unmarshal(buffer[:n], m); err != nil {
+			g.log.Debug("datagram unreadable", "error", err)
+			continue
+		}
+		g.receive(m)
+	}
+}
+
+// receive takes one datagram.
+func (g *Gossiper) receive(m *wire.Gossip) {
+	now := g.clock.Now()
+	g.mu.Lock()
+	p, ok := g.peers[m.GetProcess()]
+	if !ok || m.GetIncarnation() < p.incarnation {
+		g.mu.Unlock()
+		return // not discovered yet, or from before a restart
+	}
+	sent := time.Duration(m.GetSentUs()) * time.Microsecond
+	if m.GetIncarnation() == p.incarnation && p.listened && sent < p.sent {
+		g.mu.Unlock()
+		return // overtaken
+	}
+	p.incarnation, p.heard, p.listened, p.sent, p.leaving = m.GetIncarnation(), now, true, sent, m.GetLeaving()
+	g.mu.Unlock()
+	n := News{Process: m.GetProcess(), Incarnation: m.GetIncarnation(), Version: m.GetVersion(), Message: m}
+	// The datagram was sent after the peer got the one that it echoes.
+	if echo := time.Duration(m.GetEchoUs()) * time.Microsecond; echo > 0 && m.GetVersion() > 0 {
+		n.Proof = echo + time.Duration(m.GetHeldUs()-m.GetProofAgeUs())*time.Microsecond
+	}
+	g.take(n)
+}
