Wait out a silent target only while a repeat is left

Ruled out: slow engines (the log shows the try's own end, not the target's); lost gossip (counts were too high, not too low).

Change: the repeat is taken from the budget before a try is cut; only an engine's first event counts as begun; after an exile one request at a time goes to a target; SIGHUP reads the settings again; entries use half of the allowed repeats, as a restart begins with a full budget.

--- a/cmd/radishspoked/fleet.go
+++ b/cmd/radishspoked/fleet.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -23,7 +25,9 @@
 
 // fleetLog writes to standard output, which the platform collects.
 func fleetLog() *slog.Logger {
-	return slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: slog.LevelInfo}))
+	l := slog.New(slog.NewTextHandler(os.Stdout, &slog.HandlerOptions{Level: slog.LevelInfo}))
+	slog.SetDefault(l)
+	return l
 }
 
 func fleetEnvironment() assembler.Environment {
@@ -42,7 +46,7 @@
 	if err := e.Start(); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	await(ctx, path)
 	e.Stop()
 	return nil
 }
@@ -54,7 +58,28 @@
 	}
 	d := assembler.NewFleetSidecar(s, fleetEnvironment())
 	d.Start()
-	<-ctx.Done()
+	await(ctx, path)
 	d.Stop()
 	return nil
 }
+
+// await reads the settings again whenever the platform says that they have
+// changed, until ctx ends. What is in force stays: addresses can't change while
+// a process serves, and a restart takes the new file.
+func await(ctx context.Context, path string) {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		if _, err := platform.LoadSettings(path); err != nil {
+			slog.Error("changed settings are unusable; the old ones stay", "error", err)
+			continue
+		}
+		slog.Info("settings changed; they take effect at the next start", "path", path)
+	}
+}
--- a/coordination/forwarder/generate.go
+++ b/coordination/forwarder/generate.go
@@ -94,7 +94,7 @@
 			return prompt{handle: h, zone: t.Zone}, nil
 		}
 		done(0)
-		if f.judge(ctx, j, false) == final {
+		if f.judge(ctx, j, false, false) == final {
 			return prompt{}, f.failed(j, "engine", why)
 		}
 	}
--- a/coordination/forwarder/send.go
+++ b/coordination/forwarder/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,15 +59,16 @@
 )
 
 // judge decides what follows a send without an answer to pass on. Lost is set
-// if the target may have run the request.
-func (f *Forwarder) judge(ctx context.Context, j *job, lost bool) verdict {
+// if the target may have run the request, paid if the repeat was taken from
+// the budget already.
+func (f *Forwarder) judge(ctx context.Context, j *job, lost, paid bool) verdict {
 	if ctx.Err() != nil || f.Clock.Now() >= j.deadline {
 		return final
 	}
 	if lost && (!j.idempotent() || j.tries >= j.rule.Attempts) {
 		return final
 	}
-	if !f.Repeats.Repeat(j.group.Name) {
+	if !paid && !f.Repeats.Repeat(j.group.Name) {
 		return final
 	}
 	return again
@@ -107,23 +109,25 @@
 		f.Placer.End(t.ID, report(ctx, nil, err))
 		lost := !errors.Is(err, caller.ErrNotSent)
 		if lost {
-			f.ran(j)
+			j.ran()
+			f.begin(j)
 			f.Targets.Forget(t.Address)
 		}
-		return f.judge(ctx, j, lost), err.Error()
+		return f.judge(ctx, j, lost, p.paid.Load()), err.Error()
 	}
 	defer r.Close()
 	news := report(ctx, r, nil)
 	if r.NotRun {
 		f.Placer.End(t.ID, news)
-		return f.judge(ctx, j, false), "target does not take the request now"
+		return f.judge(ctx, j, false, p.paid.Load()), "target does not take the request now"
 	}
-	f.ran(j)
+	j.ran()
+	f.begin(j)
 	defer f.Placer.End(t.ID, news)
 	if !r.Stamped {
-		return f.judge(ctx, j, true), "answer does not come from a target"
+		return f.judge(ctx, j, true, p.paid.Load()), "answer does not come from a target"
 	}
-	if r.Status >= http.StatusInternalServerError && j.rule.Kind == radishspoke.Safe && f.judge(ctx, j, true) == again {
+	if r.Status >= http.StatusInternalServerError && j.rule.Kind == radishspoke.Safe && f.judge(ctx, j, true, p.paid.Load()) == again {
 		return again, "target failed"
 	}
 	p.extend(j.deadline - f.Clock.Now())
@@ -131,16 +135,17 @@
 		if s.started {
 			return final, err.Error()
 		}
-		return f.judge(ctx, j, true), err.Error()
+		return f.judge(ctx, j, true, p.paid.Load()), err.Error()
 	}
 	return final, ""
 }
 
 // patience ends a try that shows no sign of life, if the request may be
-// repeated and tries and time are left for another one.
+// repeated and tries, time and budget are left for another one.
 type patience struct {
 	cancel context.CancelFunc
 	timer  *time.Timer // nil if the try is not bounded
+	paid   atomic.Bool // the repeat that follows is paid for
 }
 
 // patience returns the context of one try of a request.
@@ -149,7 +154,12 @@
 	p := &patience{cancel: cancel}
 	wait := time.Duration(silence * float64(j.rule.Objective))
 	if j.idempotent() && j.tries+1 < j.rule.Attempts && f.Clock.Now()+2*wait < j.deadline {
-		p.timer = time.AfterFunc(wait, cancel)
+		p.timer = time.AfterFunc(wait, func() {
+			if f.Repeats.Repeat(j.group.Name) {
+				p.paid.Store(true)
+				cancel()
+			}
+		})
 	}
 	return ctx, p
 }
@@ -179,10 +189,9 @@
 }
 
 // ran notes that a target may have run the request.
-func (f *Forwarder) ran(j *job) {
+func (j *job) ran() {
 	j.sent = true
 	j.tries++
-	f.begin(j)
 }
 
 // begin counts a request as begun, once.
--- a/coordination/forwarder/stream.go
+++ b/coordination/forwarder/stream.go
@@ -34,29 +34,28 @@
 		f.Placer.End(t.ID, report(ctx, nil, err))
 		lost := !errors.Is(err, caller.ErrNotSent)
 		if lost {
-			f.ran(j)
+			j.ran()
 			f.Targets.Forget(t.Address)
 		} else {
 			f.free(source)
 		}
-		return f.judge(ctx, j, lost), err.Error()
+		return f.judge(ctx, j, lost, p.paid.Load()), err.Error()
 	}
 	turn(f.Clock.Now() - began)
 	defer r.Close()
 	if r.NotRun {
 		f.Placer.End(t.ID, report(ctx, r, nil))
 		f.free(source)
-		return f.judge(ctx, j, false), "engine does not take the request now"
+		return f.judge(ctx, j, false, p.paid.Load()), "engine does not take the request now"
 	}
 	news := report(ctx, r, nil)
 	defer func() { f.Placer.End(t.ID, news) }()
-	j.sent = true
-	j.tries++
+	j.ran()
 	if !r.Stamped {
-		return f.judge(ctx, j, true), "answer does not come from a target"
+		return f.judge(ctx, j, true, p.paid.Load()), "answer does not come from a target"
 	}
 	if r.Status != http.StatusOK {
-		if j.idempotent() && f.judge(ctx, j, true) == again {
+		if j.idempotent() && f.judge(ctx, j, true, p.paid.Load()) == again {
 			return again, "engine failed"
 		}
 		if s.started {
@@ -72,7 +71,7 @@
 		return final, ""
 	}
 	news.Failed, news.Unasked = true, ctx.Err() != nil
-	return f.judge(ctx, j, true), err.Error()
+	return f.judge(ctx, j, true, p.paid.Load()), err.Error()
 }
 
 // stall is the longest pause in a stream before it goes on at another engine.
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -231,7 +231,8 @@
 		if t.Role != role || not[t.ID] {
 			continue
 		}
-		if now >= t.exile {
+		// After an exile, one request at a time shows whether it is over.
+		if now >= t.exile && (t.failures == 0 || t.busy == 0) {
 			out = append(out, t)
 		} else if first == nil || t.exile < first.exile {
 			first = t
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -84,7 +84,7 @@
 
 	// repeatShare is the part of the allowed repeats that entries use: what
 	// they know of each other lags.
-	repeatShare = 0.7
+	repeatShare = 0.5
 
 	// usageLease outlasts the least time between two holders, with the
 	// margin on both sides.
