Keep a proof's clock apart from an earlier lifetime's, and stop when idle

A host that lost power starts its clock anew; peers went on echoing times of the old clock, so the host took proofs that lay in its future.

Ruled out: feeds that miss changes (the node had none, it was refused by the store); requests cut at the stop (none was under way).

Change: echoes name the incarnation that they are for; an entry ends once its requests are answered; what was charged before a start is learnt from a peer; a silent peer is charged its share; streams are spread over all generating engines, none of which reads long prompts; the request's line has the time of its first event and its longest pause.

--- a/coordination/forwarder/failure.go
+++ b/coordination/forwarder/failure.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"encoding/json"
 	"log/slog"
 	"net/http"
@@ -79,6 +80,10 @@
 		o = radishspoke.OutcomeUnknown
 	}
 	f.Recorder.Request(j.team.Name, j.rule.Name, o, status, now-j.arrived)
-	f.Log.Log(nil, level, "request", "id", j.in.ID, "route", j.rule.Name, "team", j.team.Name, "status", status, //nolint:staticcheck // no context is at hand
-		"outcome", outcome, "targets", j.path, "took", now-j.arrived, "left", j.deadline-now)
+	first := time.Duration(0)
+	if j.first > 0 {
+		first = j.first - j.arrived
+	}
+	f.Log.Log(context.Background(), level, "request", "id", j.in.ID, "route", j.rule.Name, "team", j.team.Name, "status", status,
+		"outcome", outcome, "targets", j.path, "took", now-j.arrived, "first", first, "pause", j.pause, "left", j.deadline-now)
 }
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -55,6 +55,7 @@
 type Placer interface {
 	Reader(group string, g *radishspoke.Generating, q placer.Queue, not map[string]bool) (radishspoke.Instance, time.Duration, error)
 	Generator(group, from string, not map[string]bool) (radishspoke.Instance, error)
+	Short(group string, not map[string]bool) (radishspoke.Instance, error)
 	Plain(group string, not map[string]bool) (radishspoke.Instance, error)
 	Begin(target string)
 	End(target string, r placer.Report)
@@ -133,6 +134,10 @@
 	begun bool            // it is counted as begun
 	tries int             // targets that may have run it
 	path  string          // of targets, for the log
+
+	// first is when the first event came, last the newest one, and pause the
+	// longest time between two.
+	first, last, pause time.Duration
 }
 
 // idempotent tells whether the request may run more than once.
--- a/coordination/forwarder/generate.go
+++ b/coordination/forwarder/generate.go
@@ -48,7 +48,7 @@
 			return fail
 		}
 		if p.engine == nil {
-			t, err := f.Placer.Generator(j.group.Name, p.zone, j.tried)
+			t, err := f.generator(j, p)
 			if err != nil {
 				f.free(p.handle)
 				return f.failed(j, "engine", last+": "+err.Error())
@@ -66,6 +66,14 @@
 	}
 }
 
+// generator chooses the engine that generates.
+func (f *Forwarder) generator(j *job, p prompt) (radishspoke.Instance, error) {
+	if p.handle == nil {
+		return f.Placer.Short(j.group.Name, j.tried)
+	}
+	return f.Placer.Generator(j.group.Name, p.zone, j.tried)
+}
+
 // prepare has a long prompt read, or finds the engine that does so itself.
 func (f *Forwarder) prepare(ctx context.Context, j *job) (prompt, *radishspoke.Failure) {
 	own := j.in.Generating.Prompt
--- a/coordination/forwarder/stream.go
+++ b/coordination/forwarder/stream.go
@@ -29,7 +29,7 @@
 	f.Placer.Begin(t.ID)
 	each, p := f.patience(ctx, j)
 	defer p.end()
-	r, err := f.send(each, j, t, platform.Outgoing{Source: source})
+	r, err := f.send(each, j, t, platform.Outgoing{Source: source, Urgent: from.done == nil && source == nil})
 	if err != nil {
 		f.Placer.End(t.ID, report(ctx, nil, err))
 		lost := !errors.Is(err, caller.ErrNotSent)
@@ -111,11 +111,16 @@
 		}
 		return nil
 	}
+	now := f.Clock.Now()
 	if !s.started {
 		f.begin(j)
-		f.Recorder.FirstToken(j.team.Name, j.rule.Name, f.Clock.Now()-j.arrived)
+		f.Recorder.FirstToken(j.team.Name, j.rule.Name, now-j.arrived)
+		j.first = now
 		s.head(r.Status, r.Header)
+	} else {
+		j.pause = max(j.pause, now-j.last)
 	}
+	j.last = now
 	if err := s.write(events); err != nil {
 		return err
 	}
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -51,6 +51,14 @@
 	// them one after the other.
 	transferTime = 2 * time.Millisecond
 
+	// shortTime is what one request under way adds for an answer that is
+	// generated beside it: streams are spread evenly.
+	shortTime = 3 * time.Millisecond
+
+	// slotTime is the time until a slot of an engine is free again, for each
+	// request that waits.
+	slotTime = 30 * time.Millisecond
+
 	// failureCost weighs a target's share of failed requests against its
 	// queue: a target that always fails counts as that much slower.
 	failureCost   = 400 * time.Millisecond
@@ -168,8 +176,11 @@
 	for _, t := range p.usable(group, radishspoke.PrefillRole, not) {
 		consider(t, 1)
 	}
-	for _, t := range p.usable(group, radishspoke.DecodeRole, not) {
-		consider(t, generatorSlowness)
+	generators := p.usable(group, radishspoke.DecodeRole, not)
+	if best == nil {
+		for _, t := range generators {
+			consider(t, generatorSlowness)
+		}
 	}
 	if best == nil {
 		return radishspoke.Instance{}, 0, ErrNone
@@ -180,39 +191,55 @@
 	return best.Instance, expected, nil
 }
 
-// Generator chooses the engine that generates an answer. From is the zone of
-// the engine that has read the prompt, or empty.
+// Generator chooses the engine that generates an answer after another engine,
+// in the zone from, has read the prompt.
 func (p *Placer) Generator(group, from string, not map[string]bool) (radishspoke.Instance, error) {
-	return p.least(group, radishspoke.DecodeRole, from, transferTime, not)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.least(p.usable(group, radishspoke.DecodeRole, not), func(t *target) time.Duration {
+		cost := t.crowd() + time.Duration(t.busy)*transferTime
+		if t.Zone != from {
+			cost += p.settings.Distance
+		}
+		return cost
+	}, transferTime)
 }
 
+// Short chooses the engine that reads a short prompt and answers it.
+func (p *Placer) Short(group string, not map[string]bool) (radishspoke.Instance, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.least(p.usable(group, radishspoke.DecodeRole, not), func(t *target) time.Duration {
+		return t.crowd() + time.Duration(t.busy)*shortTime
+	}, shortTime)
+}
+
+// crowd returns what the requests that wait for a slot of an engine cost one
+// more.
+func (t *target) crowd() time.Duration { return time.Duration(t.waiting) * slotTime }
+
 // plainTime is what one more request under way adds at a plain service with
 // one slot.
 const plainTime = 30 * time.Millisecond
 
 // Plain chooses a target of a plain service.
 func (p *Placer) Plain(group string, not map[string]bool) (radishspoke.Instance, error) {
-	return p.least(group, "", "", plainTime, not)
-}
-
-func (p *Placer) least(group string, role radishspoke.Role, from string, each time.Duration, not map[string]bool) (radishspoke.Instance, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.least(p.usable(group, "", not), func(t *target) time.Duration {
+		return time.Duration(max(0, t.busy+1-t.slots/2)+t.waiting) * plainTime
+	}, plainTime)
+}
+
+// least returns the target with the least cost. A random part, up to spread,
+// keeps processes from moving together.
+func (p *Placer) least(list []*target, cost func(*target) time.Duration, spread time.Duration) (radishspoke.Instance, error) {
 	var best *target
 	var least time.Duration
-	for _, t := range p.usable(group, role, not) {
-		load := t.busy
-		if role == "" {
-			load = max(0, load+1-t.slots/2) + t.waiting
-		}
-		cost := time.Duration(load)*each + p.penalty(t)
-		if from != "" && t.Zone != from {
-			cost += p.settings.Distance
-		}
-		// A random part keeps processes from moving together.
-		cost += time.Duration(p.random.Int64N(int64(each)/2 + 1))
-		if best == nil || cost < least {
-			best, least = t, cost
+	for _, t := range list {
+		c := cost(t) + p.penalty(t) + time.Duration(p.random.Int64N(int64(spread)+1))
+		if best == nil || c < least {
+			best, least = t, c
 		}
 	}
 	if best == nil {
--- a/coordination/pooler/pooler.go
+++ b/coordination/pooler/pooler.go
@@ -9,7 +9,14 @@
 
 // Peer is another entry that may be charging the same teams.
 type Peer struct {
-	Silent bool
+	Process string
+	Silent  bool
+}
+
+// Total is what a team has been charged.
+type Total struct {
+	Spent  float64 // by one entry since its start
+	Window float64 // by all entries in the newest window
 }
 
 // Settings of a Pooler.
@@ -62,6 +69,7 @@
 // account is one team's.
 type account struct {
 	rate, burst float64
+	before      []float64 // assumed charges from before the start, as in charged
 	charged     []float64 // by interval, in a ring
 	sum         float64   // of charged
 	allowance   float64   // until the next exchange
@@ -72,6 +80,7 @@
 type source struct {
 	incarnation uint64
 	spent       map[string]float64
+	assumed     map[string]float64 // charged for it since it is silent
 }
 
 // Pooler admits requests. Its methods may be called at once from many
@@ -86,9 +95,9 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	sources  map[string]*source
-	interval int64   // the present one
-	live     float64 // part of the entries that are heard
+	interval int64 // the present one
 	entries  int
+	learnt   bool // what was charged before the start
 }
 
 // New returns a Pooler. Peers returns the other entries.
@@ -96,7 +105,7 @@
 	s.fill()
 	p := &Pooler{
 		settings: s, clock: c, peers: peers, slots: int64((s.Window+lag)/s.Interval) + 1,
-		accounts: map[string]*account{}, sources: map[string]*source{}, entries: 1, live: 1,
+		accounts: map[string]*account{}, sources: map[string]*source{}, entries: 1,
 	}
 	p.began = int64(c.Now() / s.Interval)
 	p.interval = p.began
@@ -156,44 +165,54 @@
 	if now <= p.interval {
 		return
 	}
+	passed := now - p.interval
 	first := max(p.interval+1, now-p.slots+1)
 	for _, a := range p.accounts {
 		for i := first; i <= now; i++ {
-			slot := &a.charged[i%p.slots]
-			a.sum -= *slot
-			*slot = 0
+			a.sum -= a.charged[i%p.slots] + a.before[i%p.slots]
+			a.charged[i%p.slots], a.before[i%p.slots] = 0, 0
 		}
 	}
 	p.interval = now
 	peers := p.peers()
 	p.entries = len(peers) + 1
-	live := 1
 	for _, k := range peers {
-		if !k.Silent {
-			live++
+		if k.Silent {
+			p.assume(k.Process, min(passed, p.slots))
 		}
 	}
-	p.live = float64(live) / float64(p.entries)
 	for _, a := range p.accounts {
 		p.allow(a)
 	}
 }
 
+// assume charges teams for a silent peer.
+func (p *Pooler) assume(process string, intervals int64) {
+	s, ok := p.sources[process]
+	if !ok {
+		return // it has never been heard: it is only starting
+	}
+	for team, a := range p.accounts {
+		share := a.rate * p.settings.Interval.Seconds() * float64(intervals) / float64(p.entries)
+		a.charge(p.interval, share)
+		s.assumed[team] += share
+	}
+}
+
 // allow sets what may be taken until the next exchange.
 func (p *Pooler) allow(a *account) {
 	part := min(1, p.settings.Share/float64(p.entries))
-	a.allowance = (a.limit(p.settings.Window)*p.live - a.sum) * part
+	a.allowance = (a.limit(p.settings.Window) - a.sum) * part
 }
 
 // account returns a team's account with its present limits.
 func (p *Pooler) account(t radishspoke.TeamRule) *account {
 	a, ok := p.accounts[t.Name]
 	if !ok {
-		a = &account{charged: make([]float64, p.slots)}
+		a = &account{charged: make([]float64, p.slots), before: make([]float64, p.slots)}
 		p.accounts[t.Name] = a
-		// What was charged before the start counts as the full rate.
-		for i := p.interval - p.slots + 1; i < p.began; i++ {
-			a.charge(i+p.slots, t.Rate*p.settings.Interval.Seconds())
+		if !p.learnt {
+			p.charged(a, t.Rate*p.settings.Interval.Seconds())
 		}
 	}
 	if a.rate != t.Rate || a.burst != t.Burst {
@@ -203,38 +222,71 @@
 	return a
 }
 
-// Spent returns the tokens that this entry has charged to each team since it
-// started.
-func (p *Pooler) Spent() map[string]float64 {
+// charged sets what was charged in each interval before the start.
+func (p *Pooler) charged(a *account, each float64) {
+	for i := p.interval - p.slots + 1; i < p.began; i++ {
+		slot := &a.before[(i+p.slots)%p.slots]
+		a.sum += each - *slot
+		*slot = each
+	}
+}
+
+// Totals returns what each team has been charged.
+func (p *Pooler) Totals() map[string]Total {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make(map[string]float64, len(p.accounts))
+	p.advance()
+	out := make(map[string]Total, len(p.accounts))
 	for n, a := range p.accounts {
-		out[n] = a.spent
+		out[n] = Total{Spent: a.spent, Window: a.sum}
 	}
 	return out
 }
 
-// Heard takes the totals that a peer has charged since it started.
-func (p *Pooler) Heard(process string, incarnation uint64, spent map[string]float64) {
+// Heard takes what a peer says that teams have been charged.
+func (p *Pooler) Heard(process string, incarnation uint64, totals map[string]Total) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.advance()
+	p.learn(totals)
 	s, ok := p.sources[process]
 	if !ok {
-		// What a peer charged before it was heard first is not known by time.
-		p.sources[process] = &source{incarnation: incarnation, spent: spent}
-		return
+		s = &source{incarnation: incarnation, spent: map[string]float64{}, assumed: map[string]float64{}}
+		p.sources[process] = s
+		for team, t := range totals {
+			s.spent[team] = t.Spent // known from the window's sum
+		}
 	}
 	if s.incarnation != incarnation {
 		s.incarnation, s.spent = incarnation, map[string]float64{}
 	}
-	for team, total := range spent {
-		if a, ok := p.accounts[team]; ok {
-			a.charge(p.interval, total-s.spent[team])
-		} else {
-			delete(spent, team) // counted once the team is known here
+	for team, t := range totals {
+		a, ok := p.accounts[team]
+		if !ok {
+			continue // counted once the team is known here
+		}
+		news := t.Spent - s.spent[team]
+		if known := min(s.assumed[team], max(0, news)); known > 0 {
+			news -= known
+		}
+		a.charge(p.interval, news)
+		s.spent[team] = t.Spent
+	}
+	clear(s.assumed)
+}
+
+// learn takes the sum of the newest window from the first peer that is heard.
+func (p *Pooler) learn(totals map[string]Total) {
+	if p.learnt || len(totals) == 0 {
+		return
+	}
+	p.learnt = true
+	for team, t := range totals {
+		a, ok := p.accounts[team]
+		if !ok {
+			a = &account{charged: make([]float64, p.slots), before: make([]float64, p.slots)}
+			p.accounts[team] = a
 		}
+		p.charged(a, t.Window/float64(p.slots))
 	}
-	s.spent = spent
 }
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -56,9 +56,11 @@
 	ready     *http.Server
 	datagrams net.PacketConn
 
-	leaving atomic.Bool
-	stop    context.CancelFunc
-	tasks   sync.WaitGroup
+	listener net.Listener // of callers
+	active   atomic.Int64 // callers' requests under way
+	leaving  atomic.Bool
+	stop     context.CancelFunc
+	tasks    sync.WaitGroup
 }
 
 // Ports of an entry, counted from the first one for the system's own traffic.
@@ -126,7 +128,7 @@
 	})
 	logger := slog.NewLogLogger(env.Log.Handler(), slog.LevelDebug)
 	e.callers = &http.Server{
-		Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle, MaxHeaderBytes: mostHeaders, ErrorLog: logger,
+		Handler: e.count(f), ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle, MaxHeaderBytes: mostHeaders, ErrorLog: logger,
 	}
 	r := mux.NewRouter()
 	r.HandleFunc("/readiness", e.serveReady)
@@ -149,6 +151,9 @@
 			cancel()
 			return err
 		}
+		if l.server == e.callers {
+			e.listener = n
+		}
 		e.run(func() { _ = l.server.Serve(n) }) // ends when the server is closed
 	}
 	e.run(func() { e.follower.RunConfiguration(ctx) })
@@ -171,26 +176,36 @@
 	// not ready: two checks a second apart, and their answers.
 	noticeTime = 2200 * time.Millisecond
 
+	// lastTime is how long the entry still takes new connections after that:
+	// what was on its way when the platform noticed.
+	lastTime = 200 * time.Millisecond
+
 	// stopMargin is what is left of the grace when the last connections are
 	// closed.
 	stopMargin = 700 * time.Millisecond
+
+	idlePoll = 20 * time.Millisecond
 )
 
 // Stop ends the entry so that no request is cut: it says that it is not ready,
-// serves until no more callers come, and asks those that are connected to
-// leave.
+// serves until the platform sends no more callers, asks those that are
+// connected to leave, and ends once all have their answers. It is over as soon
+// as it can be, as the host's next process is what serves its callers again.
 func (e *FleetEntry) Stop() {
-	began := e.env.Clock.Now()
+	end := e.env.Clock.Now() + e.settings.Bounds.Grace - stopMargin
 	e.leaving.Store(true)
 	e.env.Log.Info("entry stops", "process", e.settings.Name)
 	time.Sleep(noticeTime)
 	e.callers.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Bounds.Grace-stopMargin-(e.env.Clock.Now()-began))
-	defer cancel()
-	if err := e.callers.Shutdown(ctx); err != nil {
-		e.env.Log.Warn("requests cut at the end of the grace", "error", err)
-		_ = e.callers.Close()
+	time.Sleep(lastTime)
+	_ = e.listener.Close()
+	for e.active.Load() > 0 && e.env.Clock.Now() < end {
+		time.Sleep(idlePoll)
+	}
+	if n := e.active.Load(); n > 0 {
+		e.env.Log.Warn("requests cut at the end of the grace", "requests", n)
 	}
+	_ = e.callers.Close()
 	e.gossiper.Leave()
 	time.Sleep(2 * gossipInterval) // the last counts reach the others
 	e.stop()
@@ -200,6 +215,15 @@
 	e.env.Log.Info("entry stopped", "process", e.settings.Name)
 }
 
+// count serves a request and counts it while it is under way.
+func (e *FleetEntry) count(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.active.Add(1)
+		defer e.active.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
 // gossipInterval is the time between two datagrams to a peer.
 const gossipInterval = 200 * time.Millisecond
 
@@ -234,7 +258,7 @@
 	list := e.gossiper.Peers()
 	out := make([]pooler.Peer, len(list))
 	for i, p := range list {
-		out[i].Silent = !p.Live
+		out[i] = pooler.Peer{Process: p.Process, Silent: !p.Live}
 	}
 	return out
 }
@@ -261,8 +285,8 @@
 	if t := e.follower.Table(); t != nil {
 		m.Version, m.ProofAgeUs = t.Version, (e.env.Clock.Now() - e.follower.Proof()).Microseconds()
 	}
-	for team, tokens := range e.pooler.Spent() {
-		m.Spending = append(m.Spending, &wire.Spending{Team: team, Tokens: tokens})
+	for team, t := range e.pooler.Totals() {
+		m.Spending = append(m.Spending, &wire.Spending{Team: team, Tokens: t.Spent, Window: t.Window})
 	}
 	for w, c := range e.biller.Recent() {
 		m.Windows = append(m.Windows, &wire.WindowUsage{Window: w, Begun: c})
@@ -272,11 +296,11 @@
 // hear takes the news of a datagram.
 func (e *FleetEntry) hear(n gossiper.News) {
 	e.follower.Learn(nil, n.Version, n.Proof)
-	spent := map[string]float64{}
+	totals := map[string]pooler.Total{}
 	for _, s := range n.Message.GetSpending() {
-		spent[s.GetTeam()] = s.GetTokens()
+		totals[s.GetTeam()] = pooler.Total{Spent: s.GetTokens(), Window: s.GetWindow()}
 	}
-	e.pooler.Heard(n.Process, n.Incarnation, spent)
+	e.pooler.Heard(n.Process, n.Incarnation, totals)
 	for _, w := range n.Message.GetWindows() {
 		e.biller.Heard(n.Process, n.Incarnation, w.GetWindow(), w.GetBegun())
 	}
--- a/state/gossiper/gossiper.go
+++ b/state/gossiper/gossiper.go
@@ -313,7 +313,7 @@
 			Process: g.settings.Process, Incarnation: g.incarnation, SentUs: now.Microseconds(), Leaving: g.leave,
 		}
 		if p.listened {
-			m.EchoUs, m.HeldUs = p.sent.Microseconds(), (now - p.heard).Microseconds()
+			m.EchoUs, m.HeldUs, m.EchoIncarnation = p.sent.Microseconds(), (now - p.heard).Microseconds(), p.incarnation
 		}
 		letters = append(letters, letter{p.address, m})
 	}
@@ -377,10 +377,12 @@
 		return // overtaken
 	}
 	p.incarnation, p.heard, p.listened, p.sent, p.leaving = m.GetIncarnation(), now, true, sent, m.GetLeaving()
+	mine := g.incarnation
 	g.mu.Unlock()
 	n := News{Process: m.GetProcess(), Incarnation: m.GetIncarnation(), Version: m.GetVersion(), Message: m}
-	// The datagram was sent after the peer got the one that it echoes.
-	if echo := time.Duration(m.GetEchoUs()) * time.Microsecond; echo > 0 && m.GetVersion() > 0 {
+	// The datagram was sent after the peer got the one that it echoes. An echo
+	// of an earlier lifetime is of another clock.
+	if echo := time.Duration(m.GetEchoUs()) * time.Microsecond; echo > 0 && m.GetVersion() > 0 && m.GetEchoIncarnation() == mine {
 		n.Proof = echo + time.Duration(m.GetHeldUs()-m.GetProofAgeUs())*time.Microsecond
 	}
 	g.take(n)
