Drop a target that was listed after an outage and has gone since

Ruled out: a late read of the list (the entry read it each second).

Change: only targets last seen before the outage are kept for its aftermath.

--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -70,8 +70,9 @@
 	table     *radishspoke.RoutingTable
 	proof     time.Duration // when the table was the newest for sure
 	instances map[string]radishspoke.Instance
-	failing   bool          // the last read of the list failed
-	healed    time.Duration // when reads of the list worked again
+	seen      map[string]time.Duration // when each was last on the list
+	failing   bool                     // the last read of the list failed
+	healed    time.Duration            // when reads of the list worked again
 }
 
 // New returns a Follower that knows nothing. It calls changed with each newer
@@ -82,7 +83,7 @@
 	s.fill()
 	return &Follower{
 		settings: s, source: src, clock: c, log: log, changed: changed, listed: listed,
-		instances: map[string]radishspoke.Instance{}, healed: -s.Return,
+		instances: map[string]radishspoke.Instance{}, seen: map[string]time.Duration{}, healed: -s.Return,
 	}
 }
 
@@ -188,15 +189,18 @@
 	next := make(map[string]radishspoke.Instance, len(list))
 	for _, i := range list {
 		next[i.ID] = i
+		f.seen[i.ID] = now
 	}
 	for id, i := range f.instances {
 		if _, ok := next[id]; ok {
 			continue
 		}
-		if now-f.healed < f.settings.Return {
+		// One that was listed after the outage has left since.
+		if now-f.healed < f.settings.Return && f.seen[id] < f.healed {
 			next[id] = i
 			continue
 		}
+		delete(f.seen, id)
 		f.log.Info("target gone", "target", id, "address", i.Address)
 	}
 	for id, i := range next {
