--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -31,7 +31,9 @@
 	Memory time.Duration
 
 	// Waste weighs the time of reading a part again that another engine has
-	// cached: it is taken from the requests that come after; 4 if zero.
+	// cached: in a rush it is taken from the requests that come after, and
+	// moving a part empties a cache of others; 50 if zero, which leaves an
+	// engine only for one that has fallen behind by half a second.
 	Waste float64
 }
 
@@ -39,7 +41,7 @@
 	defaultReadRate = 406_000
 	defaultDistance = 2 * time.Millisecond
 	defaultMemory   = 4 * time.Second
-	defaultWaste    = 4
+	defaultWaste    = 50
 
 	firstExile = 500 * time.Millisecond // after one failure; doubles with each
 	mostExile  = 8 * time.Second
