--- a/coordination/forwarder/generate.go
+++ b/coordination/forwarder/generate.go
@@ -34,6 +34,7 @@
 // prompt is how a request's prompt comes to the engine that generates.
 type prompt struct {
 	handle *radishspoke.Handle   // of the KV cache, if another engine has read it
+	reader string                // id of that engine
 	zone   string                // of that engine
 	engine *radishspoke.Instance // that is to read it itself; nil for any
 	done   func(time.Duration)   // ends the turn of that engine
@@ -99,7 +100,7 @@
 		h, why, err := f.read(ctx, j, t, expected)
 		if err == nil {
 			done(f.Clock.Now() - began)
-			return prompt{handle: h, zone: t.Zone}, nil
+			return prompt{handle: h, reader: t.ID, zone: t.Zone}, nil
 		}
 		done(0)
 		if f.judge(ctx, j, false, false) == final {
--- a/coordination/forwarder/stream.go
+++ b/coordination/forwarder/stream.go
@@ -31,7 +31,7 @@
 	defer p.end()
 	r, err := f.send(each, j, t, platform.Outgoing{Source: source, Urgent: from.done == nil && source == nil})
 	if err != nil {
-		f.Placer.End(t.ID, report(ctx, nil, err))
+		f.Placer.End(t.ID, from.report(ctx, nil, err, 0))
 		lost := !errors.Is(err, caller.ErrNotSent)
 		if lost {
 			j.ran()
@@ -41,14 +41,18 @@
 		}
 		return f.judge(ctx, j, lost, p.paid.Load()), err.Error()
 	}
-	turn(f.Clock.Now() - began)
+	took := f.Clock.Now() - began
+	turn(took)
 	defer r.Close()
 	if r.NotRun {
-		f.Placer.End(t.ID, report(ctx, r, nil))
+		f.Placer.End(t.ID, from.report(ctx, r, nil, took))
+		if from.reader != "" {
+			j.tried[from.reader] = true // its KV cache may be what failed
+		}
 		f.free(source)
 		return f.judge(ctx, j, false, p.paid.Load()), "engine does not take the request now"
 	}
-	news := report(ctx, r, nil)
+	news := from.report(ctx, r, nil, took)
 	defer func() { f.Placer.End(t.ID, news) }()
 	j.ran()
 	if !r.Stamped {
@@ -74,6 +78,13 @@
 	return f.judge(ctx, j, true, p.paid.Load()), err.Error()
 }
 
+// report turns the outcome of a send into news of the engines.
+func (p prompt) report(ctx context.Context, r *reply, err error, took time.Duration) placer.Report {
+	out := report(ctx, r, err)
+	out.Source, out.Took = p.reader, took
+	return out
+}
+
 // stall is the longest pause in a stream before it goes on at another engine.
 // Callers leave after two seconds.
 const stall = 800 * time.Millisecond
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -66,6 +66,18 @@
 	failureCost   = 400 * time.Millisecond
 	failureWeight = 0.1 // of the newest outcome in the mean
 
+	// manyRefusals is the number of refusals in a row after which a target
+	// is passed over for a while.
+	manyRefusals = 2
+
+	// manyLapses is the number of KV caches in a row that an engine could
+	// not hand over, after which nothing is read there for lapseExile.
+	manyLapses = 3
+	lapseExile = time.Second
+
+	paceWeight = 0.1 // of the newest hand-over in the mean
+	mostPace   = 300 * time.Millisecond
+
 	// generatorSlowness is how much longer an engine that generates takes to
 	// read a prompt.
 	generatorSlowness = 2
@@ -92,9 +104,13 @@
 	busy     int // requests of this process under way
 	waiting  int // as the target said last
 	slots    int
-	failures int // in a row
-	exile    time.Duration
-	failed   float64 // mean share of failed requests
+	failures int           // in a row, without a sign of life
+	refusals int           // in a row
+	lapses   int           // in a row, of KV caches that the target kept
+	exile    time.Duration // until when the target is passed over
+	lapsing  time.Duration // until when nothing is read there
+	pace     time.Duration // mean time of the hand-over of a KV cache
+	failed   float64       // mean share of failed requests
 	parts    map[string]time.Duration
 }
 
@@ -125,7 +141,7 @@
 	for _, i := range list {
 		t, ok := p.targets[i.ID]
 		if !ok || !t.Born.Equal(i.Born) {
-			t = &target{slots: i.Slots, parts: map[string]time.Duration{}}
+			t = &target{slots: i.Slots, parts: map[string]time.Duration{}, pace: transferTime}
 		}
 		t.Instance = i
 		next[i.ID] = t
@@ -199,7 +215,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.least(p.usable(group, radishspoke.DecodeRole, not), func(t *target) time.Duration {
-		cost := t.crowd() + time.Duration(t.busy)*transferTime
+		cost := t.crowd() + time.Duration(t.busy+1)*t.pace
 		if t.Zone != from {
 			cost += p.settings.Distance
 		}
@@ -261,9 +277,9 @@
 			continue
 		}
 		// After an exile, one request at a time shows whether it is over.
-		if now >= t.exile && (t.failures == 0 || t.busy == 0) {
+		if now >= max(t.exile, t.lapsing) && (t.failures == 0 || t.busy == 0) {
 			out = append(out, t)
-		} else if first == nil || t.exile < first.exile {
+		} else if first == nil || max(t.exile, t.lapsing) < max(first.exile, first.lapsing) {
 			first = t
 		}
 	}
@@ -343,6 +359,11 @@
 	Slots    int  // 0 if the target does not tell
 	Unasked  bool // the request ended for a reason of its own
 	NotReady bool // the target refused, for now
+
+	// Source is the engine whose KV cache was to be handed over; empty if
+	// there was none. Took is the time until the target answered.
+	Source string
+	Took   time.Duration
 }
 
 // End notes what became of a request at a target.
@@ -360,6 +381,7 @@
 	if r.Unasked {
 		return
 	}
+	now := p.clock.Now()
 	outcome := 0.0
 	if r.Failed || r.Silent {
 		outcome = 1
@@ -367,11 +389,36 @@
 	t.failed += failureWeight * (outcome - t.failed)
 	switch {
 	case r.Silent:
-		t.banish(p.clock.Now())
+		t.banish(now)
 	case r.NotReady:
-		t.exile = p.clock.Now() + firstExile/2
+		t.refusals++
+		if t.Role != "" && t.refusals >= manyRefusals {
+			t.exile = now + min(mostExile, firstExile<<min(t.refusals-manyRefusals, 8))
+		}
 	case !r.Failed:
-		t.failures, t.exile = 0, 0
+		t.failures, t.refusals, t.exile = 0, 0, 0
+	}
+	if r.Source != "" {
+		p.handedOver(t, r, now)
+	}
+}
+
+// handedOver learns from the hand-over of a KV cache.
+func (p *Placer) handedOver(t *target, r Report, now time.Duration) {
+	source, ok := p.targets[r.Source]
+	if !ok {
+		return
+	}
+	switch {
+	case r.NotReady && t.refusals < manyRefusals:
+		// The engine takes what others have read, so the cache has lapsed.
+		source.lapses++
+		if source.lapses >= manyLapses {
+			source.lapsing = now + lapseExile
+		}
+	case !r.Failed && !r.Silent:
+		source.lapses = 0
+		t.pace += time.Duration(paceWeight * float64(min(r.Took, mostPace)-t.pace))
 	}
 }
 
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -25,9 +25,12 @@
 	env      Environment
 	caller   *caller.Caller
 	follower *follower.Follower
+	started  time.Duration
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
 
+	deviant time.Duration // since when the roles differ from their share; 0 if they don't
+
 	mu     sync.Mutex
 	listed []radishspoke.Instance
 }
@@ -43,15 +46,25 @@
 	// process orders its engine, so it never changes.
 	orderEpoch = 1
 
-	// readingShare is the part of the engines that read prompts.
+	// readingShare is the part of the engines that read prompts, readingBand
+	// by how much it may differ while callers are served.
 	readingShare = 0.67
+	readingBand  = 0.12
+
+	// patienceTime is how long a small difference must last before an engine
+	// changes: crashed engines are back by then.
+	patienceTime = 4 * time.Second
+
+	// startTime is the time after the first start of all in which roles are
+	// brought to their share exactly: callers come later.
+	startTime = 9 * time.Second
 
 	mostReport = 1 << 20 // bytes
 )
 
 // NewFleetSidecar returns a sidecar that is not running yet.
 func NewFleetSidecar(s platform.Settings, env Environment) *FleetSidecar {
-	d := &FleetSidecar{settings: s, env: env, caller: caller.New(caller.Settings{}, env.Network, env.Clock)}
+	d := &FleetSidecar{settings: s, env: env, started: env.Clock.Now(), caller: caller.New(caller.Settings{}, env.Network, env.Clock)}
 	client := platform.New(s, env.Network, env.Clock)
 	d.follower = follower.New(follower.Settings{Interval: sidecarInterval}, client, env.Clock, env.Log,
 		func(*radishspoke.RoutingTable) {}, d.list)
@@ -108,7 +121,7 @@
 	if own == nil {
 		return nil
 	}
-	want, ok := planner.Roles(ofGroup(engines, own.Group), readingShare)[own.ID]
+	want, ok := d.planned(ofGroup(engines, own.Group))[own.ID]
 	if !ok {
 		return nil
 	}
@@ -126,6 +139,24 @@
 	})
 }
 
+// planned returns the engines that must change now. Small differences from the
+// share are mended only once they have lasted.
+func (d *FleetSidecar) planned(engines []radishspoke.Instance) map[string]radishspoke.Role {
+	now := d.env.Clock.Now()
+	exact := planner.Roles(engines, planner.Mix{Reading: readingShare})
+	if len(exact) == 0 {
+		d.deviant = 0
+		return nil
+	}
+	if d.deviant == 0 {
+		d.deviant = now
+	}
+	if now-d.deviant >= patienceTime || d.settings.First && now-d.started < startTime {
+		return exact
+	}
+	return planner.Roles(engines, planner.Mix{Reading: readingShare, Band: readingBand})
+}
+
 func ofGroup(list []radishspoke.Instance, group string) []radishspoke.Instance {
 	var out []radishspoke.Instance
 	for _, i := range list {
