Close no connection at a stop on which a request may be arriving

Turning kept connections off closes those that are idle, also one whose next request is just being read: it was passed on and its answer lost. With idle connections left open, a stream of 3 to 5 s that came on one of them late in the stop was cut at the end of the grace.

Ruled out: slow answers (the cut came 2 ms after the request was passed on).

Change: answers ask callers to reconnect, idle connections stay until nothing is under way, and what can't be whole before the end is refused as not run.

--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -79,6 +79,13 @@
 	FirstToken(team, route string, took time.Duration)
 }
 
+// Stop tells of a planned stop of this process.
+type Stop interface {
+	// Remaining returns the time within which new requests must be answered,
+	// if a stop is under way.
+	Remaining() (time.Duration, bool)
+}
+
 // Parts are what a Forwarder works with.
 type Parts struct {
 	Tables   Tables
@@ -90,6 +97,7 @@
 	Turns    Turns
 	Targets  Targets
 	Recorder Recorder
+	Stop     Stop
 	Clock    radishspoke.Clock
 	Log      *slog.Logger
 }
@@ -110,8 +118,19 @@
 	// bodyTime bounds the time that a body takes to arrive.
 	bodyTime = 10 * time.Second
 
+	// tokenTime is the time that an engine takes for one token of an answer
+	// when it is full, at most.
+	tokenTime = 2 * time.Millisecond
+
+	// leaveTime is the least time that is left for requests that a stopping
+	// process takes.
+	leaveTime = time.Second
+
 	// startPause is when to come back while no configuration is known.
 	startPause = 300 * time.Millisecond
+
+	// stopPause is when to come back to another entry.
+	stopPause = 20 * time.Millisecond
 )
 
 // job is one request on its way.
@@ -197,6 +216,9 @@
 		return notRun(http.StatusNotFound, "route", "no route leads to this path", 0)
 	}
 	j.rule = rule
+	if left, stopping := f.Stop.Remaining(); stopping && left < leaveTime+j.generation() {
+		return notRun(http.StatusServiceUnavailable, "stopping", "this entry stops before the answer would be whole", stopPause)
+	}
 	if fail := f.authenticate(j, table); fail != nil {
 		return fail
 	}
@@ -277,6 +299,14 @@
 	return j.team.PlainTokens
 }
 
+// generation is the time that the answer may take to be generated.
+func (j *job) generation() time.Duration {
+	if j.in.Generating == nil {
+		return 0
+	}
+	return time.Duration(j.in.Generating.Output) * tokenTime
+}
+
 // match returns the rule with the longest prefix of a path.
 func match(t *radishspoke.RoutingTable, host, path string) (radishspoke.PathRule, bool) {
 	best := -1
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -59,6 +59,8 @@
 	listener net.Listener // of callers
 	active   atomic.Int64 // callers' requests under way
 	leaving  atomic.Bool
+	phase    atomic.Int32 // of the stop
+	end      atomic.Int64 // of the grace, on the clock, in ns
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
 }
@@ -124,7 +126,7 @@
 	e.gossiper = gossiper.New(gossiper.Settings{Process: s.Name, Address: address}, e.table, datagrams, clock, env.Log, e.tell, e.hear)
 	f := forwarder.New(forwarder.Parts{
 		Tables: e.follower, Keys: e.keys, Limits: e.pooler, Repeats: e.repeats, Usage: e.biller, Placer: e.placer,
-		Turns: e.usher, Targets: e.caller, Recorder: e.recorder, Clock: clock, Log: env.Log,
+		Turns: e.usher, Targets: e.caller, Stop: e, Recorder: e.recorder, Clock: clock, Log: env.Log,
 	})
 	logger := slog.NewLogLogger(env.Log.Handler(), slog.LevelDebug)
 	e.callers = &http.Server{
@@ -196,12 +198,15 @@
 	e.leaving.Store(true)
 	e.env.Log.Info("entry stops", "process", e.settings.Name)
 	time.Sleep(noticeTime)
-	e.callers.SetKeepAlivesEnabled(false)
+	e.end.Store(int64(end))
+	e.phase.Store(parting)
 	time.Sleep(lastTime)
 	_ = e.listener.Close()
 	for e.active.Load() > 0 && e.env.Clock.Now() < end {
 		time.Sleep(idlePoll)
 	}
+	e.phase.Store(ended)
+	time.Sleep(idlePoll)
 	if n := e.active.Load(); n > 0 {
 		e.env.Log.Warn("requests cut at the end of the grace", "requests", n)
 	}
@@ -215,15 +220,40 @@
 	e.env.Log.Info("entry stopped", "process", e.settings.Name)
 }
 
-// count serves a request and counts it while it is under way.
+// The phases of an entry's stop.
+const (
+	serving int32 = iota
+	parting       // answers ask callers to use other connections
+	ended         // no request is taken any more
+)
+
+// count serves a request and counts it while it is under way. Connections are
+// never closed for being idle: a request may be arriving on one.
 func (e *FleetEntry) count(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.active.Add(1)
 		defer e.active.Add(-1)
+		phase := e.phase.Load()
+		if phase != serving {
+			w.Header().Set("Connection", "close")
+		}
+		if phase == ended {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		h.ServeHTTP(w, r)
 	})
 }
 
+// Remaining returns the time within which new requests must be answered, if
+// this entry is stopping.
+func (e *FleetEntry) Remaining() (time.Duration, bool) {
+	if e.phase.Load() == serving {
+		return 0, false
+	}
+	return time.Duration(e.end.Load()) - e.env.Clock.Now(), true
+}
+
 // gossipInterval is the time between two datagrams to a peer.
 const gossipInterval = 200 * time.Millisecond
 
