Let two entries watch the platform for all, and plan roles from settled lists

At the start sidecars planned from lists that were still filling, so an engine generated, read and generated again.

Ruled out: a feed of the list (every beat of every target wakes it); one watcher (cut off or killed, nobody is left to hear of changes).

Change: two entries poll; a digest of their list travels in the entries' datagrams and in one a second to each sidecar, and who sees another digest reads the list at once. Who hears too few watchers, or no fresh proof, polls itself; a long wait that is given up for this proves nothing. Sidecars give no order in their first 4.5 s.

--- a/cmd/radishspoked/fleet.go
+++ b/cmd/radishspoked/fleet.go
@@ -56,7 +56,10 @@
 	if err != nil {
 		return err
 	}
-	d := assembler.NewFleetSidecar(s, fleetEnvironment())
+	d, err := assembler.NewFleetSidecar(s, fleetEnvironment())
+	if err != nil {
+		return err
+	}
 	d.Start()
 	await(ctx, path)
 	d.Stop()
--- a/coordination/forwarder/failure.go
+++ b/coordination/forwarder/failure.go
@@ -85,5 +85,6 @@
 		first = j.first - j.arrived
 	}
 	f.Log.Log(context.Background(), level, "request", "id", j.in.ID, "route", j.rule.Name, "team", j.team.Name, "status", status,
-		"outcome", outcome, "targets", j.path, "took", now-j.arrived, "first", first, "pause", j.pause, "left", j.deadline-now)
+		"outcome", outcome, "targets", j.path, "took", now-j.arrived, "turn", j.turn, "read", j.read,
+		"sendoff", j.sendoff, "first", first, "pause", j.pause, "left", j.deadline-now)
 }
--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -154,6 +154,10 @@
 	tries int             // targets that may have run it
 	path  string          // of targets, for the log
 
+	// turn is how long the prompt waited for its turn, read how long its
+	// reading took, and sendoff how long the last target took to answer.
+	turn, read, sendoff time.Duration
+
 	// first is when the first event came, last the newest one, and pause the
 	// longest time between two.
 	first, last, pause time.Duration
@@ -222,7 +226,7 @@
 	if fail := f.authenticate(j, table); fail != nil {
 		return fail
 	}
-	if fail := j.read(w, r); fail != nil {
+	if fail := j.takeBody(w, r); fail != nil {
 		return fail
 	}
 	j.header = platform.Forwarded(r.Header)
@@ -266,8 +270,8 @@
 	return notRun(http.StatusUnauthorized, "key", authenticator.ErrBadKey.Error(), 0)
 }
 
-// read takes the body in.
-func (j *job) read(w http.ResponseWriter, r *http.Request) *radishspoke.Failure {
+// takeBody takes the body in.
+func (j *job) takeBody(w http.ResponseWriter, r *http.Request) *radishspoke.Failure {
 	if r.ContentLength > mostBody {
 		return notRun(http.StatusRequestEntityTooLarge, "body", "body is too long", 0)
 	}
--- a/coordination/forwarder/generate.go
+++ b/coordination/forwarder/generate.go
@@ -89,7 +89,9 @@
 		if err != nil {
 			return prompt{}, f.failed(j, "engine", err.Error())
 		}
+		asked := f.Clock.Now()
 		done, err := f.Turns.Wait(ctx, t.ID, usher.Ticket{Rank: j.team.Rank, OnTime: j.onTime, Deadline: j.deadline, Rest: handOver})
+		j.turn += f.Clock.Now() - asked
 		if err != nil {
 			return prompt{}, f.failed(j, "queue", "the prompt can't be read before the deadline")
 		}
@@ -98,6 +100,7 @@
 		}
 		began := f.Clock.Now()
 		h, why, err := f.read(ctx, j, t, expected)
+		j.read += f.Clock.Now() - began
 		if err == nil {
 			done(f.Clock.Now() - began)
 			return prompt{handle: h, reader: t.ID, zone: t.Zone}, nil
--- a/coordination/forwarder/stream.go
+++ b/coordination/forwarder/stream.go
@@ -42,6 +42,7 @@
 		return f.judge(ctx, j, lost, p.paid.Load()), err.Error()
 	}
 	took := f.Clock.Now() - began
+	j.sendoff = took
 	turn(took)
 	defer r.Close()
 	if r.NotRun {
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -7,12 +7,14 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
+	"google.golang.org/protobuf/proto"
 
 	"radishspoke"
 	"radishspoke/coordination/authenticator"
@@ -65,8 +67,11 @@
 	tasks    sync.WaitGroup
 }
 
-// Ports of an entry, counted from the first one for the system's own traffic.
-const gossipPort = 0
+// Ports for datagrams, counted from the first one for the system's own traffic.
+const (
+	gossipPort  = 0 // of entries
+	sidecarPort = 1 // of sidecars
+)
 
 // Times of an entry.
 const (
@@ -111,7 +116,7 @@
 	e.placer = placer.New(placer.Settings{Zone: s.Zone}, clock, rand.New(rand.NewPCG(env.Seed, 1)))
 	e.usher = usher.New(usher.Settings{}, clock)
 	e.caller = caller.New(caller.Settings{}, env.Network, clock)
-	e.follower = follower.New(follower.Settings{}, e.client, clock, env.Log, e.configure, e.placer.List)
+	e.follower = follower.New(follower.Settings{}, e.client, clock, e.watch, env.Log, e.configure, e.placer.List)
 	e.pooler = pooler.New(pooler.Settings{}, clock, e.peers)
 	e.repeats = &repeats{settings: s.Bounds, entries: func() int { return len(e.gossiper.Peers()) + 1 }, budgets: map[string]*retrier.Budget{}}
 	e.elector = elector.New(elector.Settings{Name: s.Name, Duration: usageLease, Margin: usageMargin}, e.table, clock, e.wanted, env.Log)
@@ -166,6 +171,7 @@
 	e.run(func() { e.elector.Run(ctx, timers) })
 	e.run(func() { e.bill(ctx, timers) })
 	e.run(func() { e.sweep(ctx, timers) })
+	e.run(func() { e.notify(ctx, timers) })
 	e.env.Log.Info("entry started", "process", e.settings.Name, "zone", e.settings.Zone)
 	return nil
 }
@@ -310,11 +316,36 @@
 	return nil
 }
 
+// watchers is the number of entries that watch the platform closely: enough
+// that a watcher which is lost or cut off leaves one.
+const watchers = 2
+
+// freshTime is how old the proof that the configuration is the newest may be
+// before an entry watches the platform itself.
+const freshTime = 2500 * time.Millisecond
+
+// watch tells whether this process watches the platform closely: it is among
+// the first, or too few of the others do, or their news doesn't come.
+func (e *FleetEntry) watch() bool {
+	before, watching := 0, 0
+	for _, p := range e.gossiper.Peers() {
+		if p.Live && p.Process < e.settings.Name {
+			before++
+		}
+		if p.Watching {
+			watching++
+		}
+	}
+	return before < watchers || watching < watchers || e.env.Clock.Now()-e.follower.Proof() > freshTime
+}
+
 // tell fills a datagram with what this entry knows.
 func (e *FleetEntry) tell(m *wire.Gossip) {
 	if t := e.follower.Table(); t != nil {
 		m.Version, m.ProofAgeUs = t.Version, (e.env.Clock.Now() - e.follower.Proof()).Microseconds()
 	}
+	digest, read := e.follower.Digest()
+	m.Digest, m.DigestAgeUs, m.Watching = digest, (e.env.Clock.Now() - read).Microseconds(), e.watch()
 	for team, t := range e.pooler.Totals() {
 		m.Spending = append(m.Spending, &wire.Spending{Team: team, Tokens: t.Spent, Level: t.Level})
 	}
@@ -326,6 +357,7 @@
 // hear takes the news of a datagram.
 func (e *FleetEntry) hear(n gossiper.News) {
 	e.follower.Learn(nil, n.Version, n.Proof)
+	e.follower.Told(n.Message.GetDigest(), n.Listed)
 	totals := map[string]pooler.Total{}
 	for _, s := range n.Message.GetSpending() {
 		totals[s.GetTeam()] = pooler.Total{Spent: s.GetTokens(), Level: s.GetLevel()}
@@ -375,6 +407,52 @@
 	}
 }
 
+// notifyInterval is the time between two datagrams to a sidecar.
+const notifyInterval = time.Second
+
+// notify tells sidecars which list of targets is the newest, until ctx ends, if
+// this entry is the first. A sidecar that hears nothing reads the list itself.
+func (e *FleetEntry) notify(ctx context.Context, t radishspoke.Timers) {
+	ticks, stop := t.Every(notifyInterval)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+		digest, read := e.follower.Digest()
+		if !e.first() || digest == 0 || e.env.Clock.Now()-read > freshTime {
+			continue
+		}
+		data, err := proto.Marshal(&wire.Gossip{Process: e.settings.Name, Digest: digest})
+		if err != nil {
+			e.env.Log.Error("datagram not encoded", "error", err)
+			continue
+		}
+		for _, i := range e.follower.Instances() {
+			host, err := netip.ParseAddrPort(i.Address)
+			if i.Role == "" || err != nil {
+				continue
+			}
+			to := net.UDPAddrFromAddrPort(netip.AddrPortFrom(host.Addr(), uint16(e.settings.FirstPort+sidecarPort)))
+			if _, err := e.datagrams.WriteTo(data, to); err != nil {
+				e.env.Log.Debug("datagram not sent", "to", to, "error", err)
+			}
+		}
+	}
+}
+
+// first tells whether no live entry comes before this one.
+func (e *FleetEntry) first() bool {
+	for _, p := range e.gossiper.Peers() {
+		if p.Live && p.Process < e.settings.Name {
+			return false
+		}
+	}
+	return true
+}
+
 // intake reports usage under this process's name.
 type intake struct {
 	client *platform.Client
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -4,15 +4,20 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"radishspoke"
 	"radishspoke/coordination/planner"
 	"radishspoke/platform"
+	"radishspoke/protocol/wire"
 	"radishspoke/state/follower"
 	"radishspoke/transport/caller"
 	"radishspoke/transport/ticker"
@@ -26,9 +31,12 @@
 	caller   *caller.Caller
 	follower *follower.Follower
 	started  time.Duration
+	heard    atomic.Int64 // when the last datagram came, on the clock, in ns
+	conn     net.PacketConn
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
 
+	settled bool          // roles have been planned once
 	deviant time.Duration // since when the roles differ from their share; 0 if they don't
 
 	mu     sync.Mutex
@@ -51,24 +59,36 @@
 	readingShare = 0.67
 	readingBand  = 0.12
 
+	// gatherTime is the time after its start in which a sidecar gives no
+	// orders: engines and entries that start at the same time are listed by
+	// then, so that all sidecars plan from the same list.
+	gatherTime = 4500 * time.Millisecond
+
 	// patienceTime is how long a small difference must last before an engine
-	// changes: crashed engines are back by then.
-	patienceTime = 4 * time.Second
+	// changes: crashed engines are back by then, and the roles of those that
+	// have been ordered are listed.
+	patienceTime = 6 * time.Second
 
-	// startTime is the time after the first start of all in which roles are
-	// brought to their share exactly: callers come later.
-	startTime = 9 * time.Second
+	// silentTime is how long after an entry's last datagram a sidecar relies
+	// on them; entries send one each second.
+	silentTime = 3500 * time.Millisecond
 
-	mostReport = 1 << 20 // bytes
+	mostReport   = 1 << 20 // bytes
+	mostDatagram = 4 << 10 // bytes
 )
 
 // NewFleetSidecar returns a sidecar that is not running yet.
-func NewFleetSidecar(s platform.Settings, env Environment) *FleetSidecar {
+func NewFleetSidecar(s platform.Settings, env Environment) (*FleetSidecar, error) {
 	d := &FleetSidecar{settings: s, env: env, started: env.Clock.Now(), caller: caller.New(caller.Settings{}, env.Network, env.Clock)}
 	client := platform.New(s, env.Network, env.Clock)
-	d.follower = follower.New(follower.Settings{Interval: sidecarInterval}, client, env.Clock, env.Log,
+	d.follower = follower.New(follower.Settings{Interval: sidecarInterval}, client, env.Clock, d.watch, env.Log,
 		func(*radishspoke.RoutingTable) {}, d.list)
-	return d
+	conn, err := net.ListenPacket("udp", net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort+sidecarPort)))
+	if err != nil {
+		return nil, fmt.Errorf("listen for datagrams: %w", err)
+	}
+	d.conn = conn
+	return d, nil
 }
 
 // Start begins to run.
@@ -77,16 +97,47 @@
 	d.stop = cancel
 	d.tasks.Go(func() { d.follower.RunInstances(ctx) })
 	d.tasks.Go(func() { d.plan(ctx) })
+	d.tasks.Go(d.listen)
 	d.env.Log.Info("sidecar started", "process", d.settings.Name, "engine", d.settings.Engine)
 }
 
 // Stop ends the sidecar.
 func (d *FleetSidecar) Stop() {
 	d.stop()
+	_ = d.conn.Close()
 	d.tasks.Wait()
 	d.env.Log.Info("sidecar stopped", "process", d.settings.Name)
 }
 
+// listen takes entries' datagrams until the connection is closed.
+func (d *FleetSidecar) listen() {
+	buffer := make([]byte, mostDatagram)
+	for {
+		n, _, err := d.conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			d.env.Log.Debug("datagram not received", "error", err)
+			continue
+		}
+		m := &wire.Gossip{}
+		if err := proto.Unmarshal(buffer[:n], m); err != nil {
+			d.env.Log.Debug("datagram unreadable", "error", err)
+			continue
+		}
+		now := d.env.Clock.Now()
+		d.heard.Store(int64(now))
+		d.follower.Told(m.GetDigest(), now)
+	}
+}
+
+// watch tells whether this sidecar has to read the list of targets regularly,
+// as no entry tells it of changes.
+func (d *FleetSidecar) watch() bool {
+	return d.env.Clock.Now()-time.Duration(d.heard.Load()) > silentTime
+}
+
 func (d *FleetSidecar) list(list []radishspoke.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -121,6 +172,9 @@
 	if own == nil {
 		return nil
 	}
+	if d.env.Clock.Now()-d.started < gatherTime {
+		return nil
+	}
 	want, ok := d.planned(ofGroup(engines, own.Group))[own.ID]
 	if !ok {
 		return nil
@@ -151,7 +205,11 @@
 	if d.deviant == 0 {
 		d.deviant = now
 	}
-	if now-d.deviant >= patienceTime || d.settings.First && now-d.started < startTime {
+	// When the whole system starts, roles are brought to their share at once:
+	// callers come later.
+	starting := d.settings.First && !d.settled
+	d.settled = true
+	if starting || now-d.deviant >= patienceTime {
 		return exact
 	}
 	return planner.Roles(engines, planner.Mix{Reading: readingShare, Band: readingBand})
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
 	"radishspoke"
 	"radishspoke/transport/ticker"
 )
@@ -33,6 +37,10 @@
 	// leaving target must get no more requests.
 	Interval time.Duration
 
+	// Idle is the time between two reads of the list, and the wait for a new
+	// configuration, while others watch; 10 s if zero.
+	Idle time.Duration
+
 	// Return is how long after an outage a target that is missing from the
 	// list is kept; 2.2 s if zero: live targets are back within 2 s.
 	Return time.Duration
@@ -41,8 +49,10 @@
 const (
 	defaultWait     = time.Second
 	defaultInterval = time.Second
+	defaultIdle     = 10 * time.Second
 	defaultReturn   = 2200 * time.Millisecond
 	retryPause      = 200 * time.Millisecond
+	watchInterval   = 250 * time.Millisecond // between two looks at whether others watch
 )
 
 func (s *Settings) fill() {
@@ -52,14 +62,23 @@
 	if s.Interval == 0 {
 		s.Interval = defaultInterval
 	}
+	if s.Idle == 0 {
+		s.Idle = defaultIdle
+	}
 	if s.Return == 0 {
 		s.Return = defaultReturn
 	}
 }
 
+// Watch tells whether this process has to watch the platform closely, as no
+// other one tells it of changes in time.
+type Watch func() bool
+
 // Follower follows a Source. Make it with New.
 type Follower struct {
 	settings Settings
+	watch    Watch
+	wake     chan struct{} // ring of one: the list is to be read now
 	source   Source
 	clock    radishspoke.Clock
 	log      *slog.Logger
@@ -73,16 +92,22 @@
 	seen      map[string]time.Duration // when each was last on the list
 	failing   bool                     // the last read of the list failed
 	healed    time.Duration            // when reads of the list worked again
+	digest    uint64                   // of the list as it was read last
+	readAt    time.Duration            // when that was
 }
 
 // New returns a Follower that knows nothing. It calls changed with each newer
-// configuration and listed with each list of targets.
-func New(s Settings, src Source, c radishspoke.Clock, log *slog.Logger,
+// configuration and listed with each list of targets. Watch may be nil, for
+// always.
+func New(s Settings, src Source, c radishspoke.Clock, w Watch, log *slog.Logger,
 	changed func(*radishspoke.RoutingTable), listed func([]radishspoke.Instance),
 ) *Follower {
 	s.fill()
+	if w == nil {
+		w = func() bool { return true }
+	}
 	return &Follower{
-		settings: s, source: src, clock: c, log: log, changed: changed, listed: listed,
+		settings: s, watch: w, wake: make(chan struct{}, 1), source: src, clock: c, log: log, changed: changed, listed: listed,
 		instances: map[string]radishspoke.Instance{}, seen: map[string]time.Duration{}, healed: -s.Return,
 	}
 }
@@ -131,8 +156,11 @@
 			t, after, err = f.source.Configuration(ctx)
 			known = err == nil && t != nil
 		} else {
-			t, after, err = f.source.NextConfiguration(ctx, after, f.settings.Wait)
+			t, after, err = f.next(ctx, after)
 			// Whatever went wrong, reading anew shows what was missed.
+			if errors.Is(err, errWatch) {
+				continue
+			}
 			known = err == nil
 		}
 		if err != nil {
@@ -157,17 +185,115 @@
 	}
 }
 
+// next waits for a new configuration. A long wait ends early when this process
+// has to watch the platform closely.
+func (f *Follower) next(ctx context.Context, after int64) (*radishspoke.RoutingTable, int64, error) {
+	if f.watch() {
+		return f.source.NextConfiguration(ctx, after, f.settings.Wait)
+	}
+	long, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		t := time.NewTicker(watchInterval)
+		defer t.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-t.C:
+			}
+			if f.watch() {
+				cancel()
+				return
+			}
+		}
+	}()
+	t, next, err := f.source.NextConfiguration(long, after, f.settings.Idle)
+	if err != nil && long.Err() != nil && ctx.Err() == nil {
+		return nil, after, errWatch
+	}
+	return t, next, err
+}
+
+// errWatch says that a wait was given up so that a shorter one takes its place.
+// It proves nothing of the configuration.
+var errWatch = errors.New("the wait was given up")
+
 // RunInstances reads the list of targets until ctx ends.
 func (f *Follower) RunInstances(ctx context.Context) {
 	for ctx.Err() == nil {
 		list, err := f.source.Instances(ctx, func(err error) { f.log.Debug("target passed over", "error", err) })
-		pause := f.settings.Interval
+		f.Listed(list, err)
 		if err != nil {
-			pause = retryPause
+			ticker.Sleep(ctx, retryPause)
+			continue
 		}
-		f.Listed(list, err)
-		ticker.Sleep(ctx, pause)
+		f.await(ctx)
+	}
+}
+
+// await returns when the list is to be read again.
+func (f *Follower) await(ctx context.Context) {
+	began := f.clock.Now()
+	for {
+		t := time.NewTimer(watchInterval)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-f.wake:
+			t.Stop()
+			return
+		case <-t.C:
+		}
+		passed := f.clock.Now() - began
+		if f.watch() && passed >= f.settings.Interval || passed >= f.settings.Idle {
+			return
+		}
+	}
+}
+
+// Instances returns the targets as they were listed last.
+func (f *Follower) Instances() []radishspoke.Instance {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	out := make([]radishspoke.Instance, 0, len(f.instances))
+	for _, i := range f.instances {
+		out = append(out, i)
+	}
+	return out
+}
+
+// Digest returns what tells lists of targets apart, as the list was read last,
+// and when that was; 0 if it was not.
+func (f *Follower) Digest() (digest uint64, read time.Duration) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.digest, f.readAt
+}
+
+// Told takes the digest of another process's list, read not before at. If it
+// differs from a list that is older here, the list is read now.
+func (f *Follower) Told(digest uint64, at time.Duration) {
+	mine, read := f.Digest()
+	if digest == 0 || digest == mine || at <= read {
+		return
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// digestOf adds up what the list says of each target, but for its load.
+func digestOf(list []radishspoke.Instance) uint64 {
+	sum := uint64(1)
+	for _, i := range list {
+		sum += xxhash.Sum64String(fmt.Sprint(i.ID, i.Address, i.Role, i.Leaving, i.Born.UnixMilli()))
 	}
+	return sum
 }
 
 // Listed takes the outcome of one read of the list of targets.
@@ -186,6 +312,7 @@
 		f.log.Info("targets are listed again")
 		f.failing, f.healed = false, now
 	}
+	f.digest, f.readAt = digestOf(list), now
 	next := make(map[string]radishspoke.Instance, len(list))
 	for _, i := range list {
 		next[i.ID] = i
--- a/state/gossiper/gossiper.go
+++ b/state/gossiper/gossiper.go
@@ -39,8 +39,8 @@
 	// 20 s if zero.
 	Forget time.Duration
 
-	// Discover is the time between two reads of the peers' rows; 5 s if
-	// zero.
+	// Discover is the time between two reads of the peers' rows; 15 s if
+	// zero. They are read at once when an unknown peer is heard.
 	Discover time.Duration
 }
 
@@ -49,7 +49,7 @@
 	defaultFan      = 8
 	defaultSilence  = time.Second
 	defaultForget   = 20 * time.Second
-	defaultDiscover = 5 * time.Second
+	defaultDiscover = 15 * time.Second
 	firstDiscovery  = 500 * time.Millisecond // while peers are still starting
 	startTime       = 5 * time.Second        // during which they do
 	mostDatagram    = 60 << 10               // bytes
@@ -91,13 +91,18 @@
 	// newest; 0 if that can't be told.
 	Proof time.Duration
 
+	// Listed is a moment before which the list of targets with the message's
+	// digest was not read; 0 if that can't be told.
+	Listed time.Duration
+
 	Message *wire.Gossip
 }
 
 // Peer is another entry as it is known here.
 type Peer struct {
-	Process string
-	Live    bool
+	Process  string
+	Live     bool
+	Watching bool // it watches the platform closely
 
 	// Heard is when the last datagram came, or when the peer was discovered.
 	Heard time.Duration
@@ -112,6 +117,7 @@
 	listened    bool          // a datagram has come
 	sent        time.Duration // on the peer's clock, in its last datagram
 	leaving     bool
+	watching    bool
 }
 
 // Gossiper exchanges datagrams with the other entries. Make it with New.
@@ -124,6 +130,8 @@
 	fill     func(*wire.Gossip)
 	take     func(News)
 
+	unknown chan struct{} // ring of one: an unknown peer was heard
+
 	mu          sync.Mutex
 	incarnation uint64 // 0 until this process is announced
 	peers       map[string]*peer
@@ -140,7 +148,7 @@
 	s.fill()
 	return &Gossiper{
 		settings: s, table: t, conn: conn, clock: c, log: log, fill: fill, take: take,
-		peers: map[string]*peer{}, joined: c.Now(),
+		unknown: make(chan struct{}, 1), peers: map[string]*peer{}, joined: c.Now(),
 	}
 }
 
@@ -152,7 +160,8 @@
 	out := make([]Peer, 0, len(g.peers))
 	for n, p := range g.peers {
 		if !p.leaving {
-			out = append(out, Peer{Process: n, Live: p.listened && now-p.heard < g.settings.Silence, Heard: p.heard})
+			live := p.listened && now-p.heard < g.settings.Silence
+			out = append(out, Peer{Process: n, Live: live, Watching: live && p.watching, Heard: p.heard})
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Process < out[j].Process })
@@ -178,7 +187,19 @@
 		if err != nil || g.clock.Now()-g.joined < startTime {
 			pause = firstDiscovery
 		}
-		ticker.Sleep(ctx, pause)
+		g.await(ctx, pause)
+	}
+}
+
+// await returns after a pause, or when an unknown peer was heard.
+func (g *Gossiper) await(ctx context.Context, pause time.Duration) {
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-g.unknown:
+		ticker.Sleep(ctx, firstDiscovery) // others may be starting, too
 	}
 }
 
@@ -369,6 +390,12 @@
 	p, ok := g.peers[m.GetProcess()]
 	if !ok || m.GetIncarnation() < p.incarnation {
 		g.mu.Unlock()
+		if !ok {
+			select {
+			case g.unknown <- struct{}{}:
+			default:
+			}
+		}
 		return // not discovered yet, or from before a restart
 	}
 	sent := time.Duration(m.GetSentUs()) * time.Microsecond
@@ -377,13 +404,16 @@
 		return // overtaken
 	}
 	p.incarnation, p.heard, p.listened, p.sent, p.leaving = m.GetIncarnation(), now, true, sent, m.GetLeaving()
+	p.watching = m.GetWatching()
 	mine := g.incarnation
 	g.mu.Unlock()
 	n := News{Process: m.GetProcess(), Incarnation: m.GetIncarnation(), Version: m.GetVersion(), Message: m}
 	// The datagram was sent after the peer got the one that it echoes. An echo
 	// of an earlier lifetime is of another clock.
 	if echo := time.Duration(m.GetEchoUs()) * time.Microsecond; echo > 0 && m.GetVersion() > 0 && m.GetEchoIncarnation() == mine {
-		n.Proof = echo + time.Duration(m.GetHeldUs()-m.GetProofAgeUs())*time.Microsecond
+		sent := echo + time.Duration(m.GetHeldUs())*time.Microsecond
+		n.Proof = sent - time.Duration(m.GetProofAgeUs())*time.Microsecond
+		n.Listed = sent - time.Duration(m.GetDigestAgeUs())*time.Microsecond
 	}
 	g.take(n)
 }
