--- /dev/null
+++ b/coordination/biller/biller_test.go
@@ -0,0 +1,129 @@
+package biller_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"radishspoke"
+	"radishspoke/coordination/biller"
+	"radishspoke/internal/fake"
+	"radishspoke/internal/trial"
+	"radishspoke/platform"
+	"radishspoke/transport"
+)
+
+var start = time.UnixMilli(1_700_000_000_000) // a window of 5 s begins
+
+// intake takes reports and can lose their answers.
+type intake struct {
+	got  []string
+	lose int
+}
+
+func (i *intake) ReportUsage(_ context.Context, epoch, window int64, counts map[string]int64) error {
+	i.got = append(i.got, fmt.Sprint(epoch, " ", window-start.Unix()/5, " ", counts))
+	if i.lose > 0 {
+		i.lose--
+		return radishspoke.ErrUnavailable
+	}
+	return nil
+}
+
+// office is the state that billers share.
+type office struct {
+	store  *fake.RowStore
+	table  func() radishspoke.Table
+	now    time.Time
+	intake *intake
+	holder string
+	epoch  int64
+}
+
+func newOffice(c *qt.C) *office {
+	o := &office{store: fake.NewRowStore(), now: start, intake: &intake{}, holder: "a", epoch: 1}
+	server := httptest.NewServer(o.store)
+	c.Cleanup(server.Close)
+	o.table = func() radishspoke.Table {
+		return platform.NewTable(platform.New(platform.Settings{Store: strings.TrimPrefix(server.URL, "http://")}, &transport.TCP{}, &trial.Clock{}))
+	}
+	return o
+}
+
+func (o *office) biller(name string) *biller.Biller {
+	return biller.New(biller.Settings{Window: 5 * time.Second}, o.table(), o.intake,
+		func() (time.Time, bool) { return o.now, true },
+		func() (int64, bool) { return o.epoch, o.holder == name }, slog.New(slog.DiscardHandler))
+}
+
+// TestWindows reports two windows, with what another entry counted before it
+// was killed.
+func TestWindows(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	o := newOffice(c)
+	a := o.biller("a")
+	c.Assert(a.Step(ctx), qt.IsNil)
+	a.Begun("t")
+	a.Begun("t")
+	w := start.Unix() / 5
+	a.Heard("b", 1, w, biller.Counts{"t": 3})
+	a.Heard("b", 1, w, biller.Counts{"t": 2, "u": 1}) // overtaken
+	a.Heard("b", 2, w, biller.Counts{"t": 10})        // after its restart
+	o.now = start.Add(6 * time.Second)
+	a.Begun("t")
+	c.Assert(a.Step(ctx), qt.IsNil)
+	c.Assert(o.intake.got, qt.HasLen, 0) // not settled yet
+	o.now = start.Add(12 * time.Second)
+	c.Assert(a.Step(ctx), qt.IsNil)
+	c.Assert(a.Step(ctx), qt.IsNil)
+	c.Assert(o.intake.got, qt.DeepEquals, []string{"1 0 map[t:15 u:1]", "1 1 map[t:1]"})
+}
+
+// TestTakeOver loses the answer to a report and the duty with it: the successor
+// repeats the same figures, however different its own counts are.
+func TestTakeOver(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	o := newOffice(c)
+	a, b := o.biller("a"), o.biller("b")
+	c.Assert(a.Step(ctx), qt.IsNil)
+	c.Assert(b.Step(ctx), qt.IsNil)
+	a.Begun("t")
+	b.Begun("t")
+	b.Begun("t")
+	o.now = start.Add(7 * time.Second)
+	o.intake.lose = 1
+	c.Assert(a.Step(ctx), qt.ErrorIs, radishspoke.ErrUnavailable)
+	o.holder, o.epoch = "b", 2
+	o.now = start.Add(12 * time.Second)
+	c.Assert(b.Step(ctx), qt.IsNil)
+	c.Assert(o.intake.got, qt.DeepEquals, []string{"1 0 map[t:1]", "2 0 map[t:1]", "2 1 map[]"})
+	c.Assert(a.Step(ctx), qt.IsNil) // it no longer holds the duty
+	c.Assert(o.intake.got, qt.HasLen, 3)
+}
+
+// TestLostFreeze loses the answer to the write that freezes a window.
+func TestLostFreeze(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	o := newOffice(c)
+	a := o.biller("a")
+	c.Assert(a.Step(ctx), qt.IsNil)
+	a.Begun("t")
+	o.now = start.Add(7 * time.Second)
+	o.store.SetFaults(fake.RowFaults{LoseWrites: 1})
+	err := a.Step(ctx)
+	c.Assert(errors.Is(err, radishspoke.ErrUnavailable), qt.IsTrue)
+	c.Assert(o.intake.got, qt.HasLen, 0)
+	a.Heard("b", 1, start.Unix()/5, biller.Counts{"t": 5}) // too late for the frozen window
+	c.Assert(a.Step(ctx), qt.IsNil)
+	c.Assert(o.intake.got, qt.DeepEquals, []string{"1 0 map[t:1]"})
+}
--- /dev/null
+++ b/state/gossiper/discovery_test.go
@@ -0,0 +1,76 @@
+package gossiper_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"radishspoke/internal/fake"
+	"radishspoke/platform"
+	"radishspoke/protocol/wire"
+	"radishspoke/state/gossiper"
+	"radishspoke/transport"
+	"radishspoke/transport/ticker"
+)
+
+// start runs an entry's exchange on loopback and returns what stops it.
+func start(c *qt.C, store, name string, got chan<- gossiper.News) (stop func()) {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	clock := ticker.BootClock{}
+	client := platform.New(platform.Settings{Store: store}, &transport.TCP{}, clock)
+	g := gossiper.New(gossiper.Settings{Process: name, Address: conn.LocalAddr().String(), Interval: 5 * time.Millisecond},
+		platform.NewTable(client), conn, clock, slog.New(slog.DiscardHandler),
+		func(m *wire.Gossip) { m.Version = 1 }, func(n gossiper.News) {
+			select {
+			case got <- n:
+			default:
+			}
+		})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 3)
+	for _, f := range []func(){func() { g.RunDiscovery(ctx) }, func() { g.RunSend(ctx, ticker.New(clock)) }, g.RunReceive} {
+		go func() { f(); done <- struct{}{} }()
+	}
+	return func() {
+		cancel()
+		_ = conn.Close()
+		for range 3 {
+			<-done
+		}
+	}
+}
+
+// TestDiscovery starts entries one after the other, one of them twice.
+func TestDiscovery(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(fake.NewRowStore())
+	c.Cleanup(server.Close)
+	store := strings.TrimPrefix(server.URL, "http://")
+	got := make(chan gossiper.News, 1)
+	defer start(c, store, "a", got)()
+	heard := func(process string, incarnation uint64) {
+		timeout := time.After(time.Minute)
+		for {
+			select {
+			case n := <-got:
+				if n.Process == process && n.Incarnation == incarnation && n.Proof > 0 {
+					return
+				}
+			case <-timeout:
+				c.Fatalf("nothing heard of lifetime %d of %s", incarnation, process)
+			}
+		}
+	}
+	stop := start(c, store, "b", nil)
+	heard("b", 1)
+	stop()
+	defer start(c, store, "b", nil)() // its next lifetime
+	heard("b", 2)
+}
--- /dev/null
+++ b/state/timekeeper/timekeeper_test.go
@@ -0,0 +1,46 @@
+package timekeeper_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"radishspoke/internal/fake"
+	"radishspoke/internal/trial"
+	"radishspoke/platform"
+	"radishspoke/state/timekeeper"
+	"radishspoke/transport"
+)
+
+// TestAgree has two processes on hosts whose clocks differ: both tell the time
+// that the first wrote down.
+func TestAgree(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(fake.NewRowStore())
+	c.Cleanup(server.Close)
+	ctx := context.Background()
+	clocks := []*trial.Clock{{At: time.Hour}, {At: 5 * time.Second}}
+	var times []time.Time
+	for _, clock := range clocks {
+		client := platform.New(platform.Settings{Store: strings.TrimPrefix(server.URL, "http://")}, &transport.TCP{}, clock)
+		k := timekeeper.New(platform.NewTable(client), clock)
+		_, known := k.Now()
+		c.Assert(known, qt.IsFalse)
+		if len(times) == 0 {
+			c.Assert(k.Agree(ctx), qt.IsNotNil) // nothing is known of the store's clock
+		}
+		// Slow readings are passed over for quick ones.
+		k.Observe(clock.At-20*time.Millisecond, clock.At, 10*time.Second)
+		k.Observe(clock.At-2*time.Second, clock.At, time.Minute)
+		for k.Agree(ctx) != nil {
+		}
+		now, known := k.Now()
+		c.Assert(known, qt.IsTrue)
+		times = append(times, now)
+	}
+	c.Assert(times[0].Equal(times[1]), qt.IsTrue)
+}
