Hand the usage duty over within five seconds, and wait longer for counts

The reporter lost the store at 17.5 s and its successor took over 13 s later, too late for a window.

Ruled out: requests counted at the wrong moment (windows without full links were right).

Change: counts settle for 3 s; the lease lasts 4 s, and both that stand by may take it at once.

--- a/coordination/biller/biller.go
+++ b/coordination/biller/biller.go
@@ -34,8 +34,8 @@
 type Settings struct {
 	Window time.Duration // length
 
-	// Settle is how long after its end a window's counts are added up; 1.5 s
-	// if zero: by then every entry's last counts have spread.
+	// Settle is how long after its end a window's counts are added up; 3 s
+	// if zero: time for some rounds of datagrams, of which full links lose some.
 	Settle time.Duration
 
 	// Kept is the number of windows that are kept; 24 if zero.
@@ -43,7 +43,7 @@
 }
 
 const (
-	defaultSettle = 1500 * time.Millisecond
+	defaultSettle = 3 * time.Second
 	defaultKept   = 24
 	recent        = 4 // windows that are told to the others
 )
--- a/coordination/biller/biller_test.go
+++ b/coordination/biller/biller_test.go
@@ -58,7 +58,7 @@
 }
 
 func (o *office) biller(name string) *biller.Biller {
-	return biller.New(biller.Settings{Window: 5 * time.Second}, o.table(), o.intake,
+	return biller.New(biller.Settings{Window: 5 * time.Second, Settle: 1500 * time.Millisecond}, o.table(), o.intake,
 		func() (time.Time, bool) { return o.now, true },
 		func() (int64, bool) { return o.epoch, o.holder == name }, slog.New(slog.DiscardHandler))
 }
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -97,7 +97,7 @@
 
 	// usageLease outlasts the least time between two holders, with the
 	// margin on both sides.
-	usageLease  = 6 * time.Second
+	usageLease  = 4 * time.Second
 	usageMargin = time.Second
 
 	// reporters is the number of entries that stand by for the duty.
@@ -311,7 +311,7 @@
 		}
 	}
 	if _, holds := e.elector.Holds(biller.Duty); holds || rank < reporters {
-		return map[string]int{biller.Duty: rank}
+		return map[string]int{biller.Duty: 0} // the first to write takes it
 	}
 	return nil
 }
