Count as watching only who gets the list

A leaving target got requests after 2.02 s (DRAIN).

Ruled out: lost datagrams (the others heard both all the while).

Change: an entry says that it watches only while its last reading is under a second old; an entry watches unless two before it by name do; the list is read each 0.7 s.

--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -316,27 +316,17 @@
 	return nil
 }
 
-// watchers is the number of entries that watch the platform closely: enough
-// that a watcher which is lost or cut off leaves one.
-const watchers = 2
-
 // freshTime is how old the proof that the configuration is the newest may be
 // before an entry watches the platform itself.
 const freshTime = 2500 * time.Millisecond
 
-// watch tells whether this process watches the platform closely: it is among
-// the first, or too few of the others do, or their news doesn't come.
+// watch tells whether this process watches the platform closely.
 func (e *FleetEntry) watch() bool {
-	before, watching := 0, 0
+	var others []follower.Other
 	for _, p := range e.gossiper.Peers() {
-		if p.Live && p.Process < e.settings.Name {
-			before++
-		}
-		if p.Watching {
-			watching++
-		}
+		others = append(others, follower.Other{Process: p.Process, Watching: p.Watching})
 	}
-	return before < watchers || watching < watchers || e.env.Clock.Now()-e.follower.Proof() > freshTime
+	return follower.Needed(e.settings.Name, others) || e.env.Clock.Now()-e.follower.Proof() > freshTime
 }
 
 // tell fills a datagram with what this entry knows.
@@ -345,7 +335,8 @@
 		m.Version, m.ProofAgeUs = t.Version, (e.env.Clock.Now() - e.follower.Proof()).Microseconds()
 	}
 	digest, read := e.follower.Digest()
-	m.Digest, m.DigestAgeUs, m.Watching = digest, (e.env.Clock.Now() - read).Microseconds(), e.watch()
+	age := e.env.Clock.Now() - read
+	m.Digest, m.DigestAgeUs, m.Watching = digest, age.Microseconds(), age < follower.WatchAge
 	for team, t := range e.pooler.Totals() {
 		m.Spending = append(m.Spending, &wire.Spending{Team: team, Tokens: t.Spent, Level: t.Level})
 	}
--- a/state/follower/follower.go
+++ b/state/follower/follower.go
@@ -32,9 +32,10 @@
 	// Wait is how long one call waits for a new configuration; 1 s if zero.
 	Wait time.Duration
 
-	// Interval is the time between two reads of the list of targets; 1 s if
-	// zero. With a read of a few ms it is half of the time within which a
-	// leaving target must get no more requests.
+	// Interval is the time between two reads of the list of targets; 700 ms
+	// if zero. A leaving target must get no more requests after 2 s, also
+	// when those that watched have just lost the platform: the age at which
+	// they no longer count, and the time until others know, are in it.
 	Interval time.Duration
 
 	// Idle is the time between two reads of the list, and the wait for a new
@@ -48,7 +49,7 @@
 
 const (
 	defaultWait     = time.Second
-	defaultInterval = time.Second
+	defaultInterval = 700 * time.Millisecond
 	defaultIdle     = 10 * time.Second
 	defaultReturn   = 2200 * time.Millisecond
 	retryPause      = 200 * time.Millisecond
