Serve metrics at the deploy file's port, and be ready only where keys can be checked

Metrics had no address that the deploy file could name.

Ruled out: a wrong proof (theirs was old, and they said so).

--- a/cmd/radishspoked/daemon.go
+++ b/cmd/radishspoked/daemon.go
@@ -29,10 +29,10 @@
 		Usage: "run an entry: the process that callers reach",
 		Description: "On SIGTERM the entry stops being ready, finishes its requests and leaves.\n\n" +
 			"Example:\n   radishspoked entry --settings examples/entry.ini",
-		Flags: []cli.Flag{settingsFlag()},
+		Flags: []cli.Flag{settingsFlag(), newMetricsFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if path, ok := onPlatform(c); ok {
-				return runFleetEntry(ctx, path)
+				return runFleetEntry(ctx, path, c.Int(metricsFlag))
 			}
 			s, err := parser.LoadSettings(c.String("settings"))
 			if err != nil {
@@ -57,10 +57,10 @@
 		Usage: "run a sidecar: the process beside one target",
 		Description: "On SIGTERM the sidecar takes no new requests, finishes those it has and leaves.\n\n" +
 			"Example:\n   radishspoked sidecar --settings examples/sidecar.ini",
-		Flags: []cli.Flag{settingsFlag()},
+		Flags: []cli.Flag{settingsFlag(), newMetricsFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if path, ok := onPlatform(c); ok {
-				return runFleetSidecar(ctx, path)
+				return runFleetSidecar(ctx, path, c.Int(metricsFlag))
 			}
 			s, err := parser.LoadSettings(c.String("settings"))
 			if err != nil {
--- a/cmd/radishspoked/fleet.go
+++ b/cmd/radishspoked/fleet.go
@@ -34,12 +34,19 @@
 	return assembler.Environment{Network: &transport.TCP{}, Clock: ticker.BootClock{}, Log: fleetLog(), Seed: rand.Uint64()}
 }
 
-func runFleetEntry(ctx context.Context, path string) error {
+// metricsFlag names the port for metrics on the users' platform.
+const metricsFlag = "metrics-port"
+
+func newMetricsFlag() cli.Flag {
+	return &cli.IntFlag{Name: metricsFlag, Usage: "serve metrics at /metrics of `PORT`, on the platform; 0 for nowhere"}
+}
+
+func runFleetEntry(ctx context.Context, path string, metrics int) error {
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
-	e, err := assembler.NewFleetEntry(s, fleetEnvironment())
+	e, err := assembler.NewFleetEntry(s, fleetEnvironment(), metrics)
 	if err != nil {
 		return err
 	}
@@ -51,16 +58,18 @@
 	return nil
 }
 
-func runFleetSidecar(ctx context.Context, path string) error {
+func runFleetSidecar(ctx context.Context, path string, metrics int) error {
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
-	d, err := assembler.NewFleetSidecar(s, fleetEnvironment())
+	d, err := assembler.NewFleetSidecar(s, fleetEnvironment(), metrics)
 	if err != nil {
 		return err
 	}
-	d.Start()
+	if err := d.Start(); err != nil {
+		return err
+	}
 	await(ctx, path)
 	d.Stop()
 	return nil
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -56,6 +56,7 @@
 	repeats   *repeats
 	callers   *http.Server
 	ready     *http.Server
+	metrics   *http.Server
 	datagrams net.PacketConn
 
 	listener net.Listener // of callers
@@ -104,8 +105,9 @@
 	reporters = 2
 )
 
-// NewFleetEntry returns an entry that is not serving yet.
-func NewFleetEntry(s platform.Settings, env Environment) (*FleetEntry, error) {
+// NewFleetEntry returns an entry that is not serving yet. Metrics is the port
+// for metrics, or 0.
+func NewFleetEntry(s platform.Settings, env Environment, metrics int) (*FleetEntry, error) {
 	e := &FleetEntry{settings: s, env: env, recorder: recorder.New()}
 	clock := env.Clock
 	e.client = platform.New(s, env.Network, clock)
@@ -139,7 +141,8 @@
 	}
 	r := mux.NewRouter()
 	r.HandleFunc("/readiness", e.serveReady)
-	r.Handle("/metrics", e.recorder)
+	e.metrics = newMetricsServer(s.IP, metrics, e.recorder)
+	e.gauges()
 	e.ready = &http.Server{Handler: r, ReadHeaderTimeout: headerTime, ErrorLog: logger}
 	return e, nil
 }
@@ -163,6 +166,10 @@
 		}
 		e.run(func() { _ = l.server.Serve(n) }) // ends when the server is closed
 	}
+	if err := serveMetrics(e.metrics, e.env.Network, e.run); err != nil {
+		cancel()
+		return err
+	}
 	e.run(func() { e.follower.RunConfiguration(ctx) })
 	e.run(func() { e.follower.RunInstances(ctx) })
 	e.run(func() { e.gossiper.RunDiscovery(ctx) })
@@ -221,6 +228,7 @@
 	time.Sleep(2 * gossipInterval) // the last counts reach the others
 	e.stop()
 	_ = e.ready.Close()
+	_ = e.metrics.Close()
 	_ = e.datagrams.Close()
 	e.tasks.Wait()
 	e.env.Log.Info("entry stopped", "process", e.settings.Name)
@@ -263,8 +271,34 @@
 // gossipInterval is the time between two datagrams to a peer.
 const gossipInterval = 200 * time.Millisecond
 
+// gauges shows what this entry believes.
+func (e *FleetEntry) gauges() {
+	e.recorder.Gauge("requests_running", func() float64 { return float64(e.active.Load()) })
+	e.recorder.Gauge("config_version", func() float64 {
+		if t := e.follower.Table(); t != nil {
+			return float64(t.Version)
+		}
+		return 0
+	})
+	e.recorder.Gauge("config_proof_age_seconds", func() float64 { return (e.env.Clock.Now() - e.follower.Proof()).Seconds() })
+	e.recorder.Gauge("targets_listed", func() float64 { return float64(len(e.follower.Instances())) })
+	e.recorder.Gauge("peers_live", func() float64 {
+		n := 0
+		for _, p := range e.gossiper.Peers() {
+			if p.Live {
+				n++
+			}
+		}
+		return float64(n)
+	})
+	e.recorder.Gauge("target_connections_opened", func() float64 { return float64(e.caller.Dialed()) })
+}
+
+// serveReady says whether callers should be sent here. An entry that can't
+// check keys, as it is cut off, leaves them to those that can.
 func (e *FleetEntry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.leaving.Load() || e.follower.Table() == nil {
+	t := e.follower.Table()
+	if e.leaving.Load() || t == nil || t.Keyed && !e.standing() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -19,6 +19,7 @@
 	"radishspoke/platform"
 	"radishspoke/protocol/wire"
 	"radishspoke/state/follower"
+	"radishspoke/state/recorder"
 	"radishspoke/transport/caller"
 	"radishspoke/transport/ticker"
 )
@@ -33,6 +34,8 @@
 	started  time.Duration
 	heard    atomic.Int64 // when the last datagram came, on the clock, in ns
 	conn     net.PacketConn
+	metrics  *http.Server
+	orders   atomic.Int64 // accepted by the engine
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
 
@@ -77,8 +80,9 @@
 	mostDatagram = 4 << 10 // bytes
 )
 
-// NewFleetSidecar returns a sidecar that is not running yet.
-func NewFleetSidecar(s platform.Settings, env Environment) (*FleetSidecar, error) {
+// NewFleetSidecar returns a sidecar that is not running yet. Metrics is the port
+// for metrics, or 0.
+func NewFleetSidecar(s platform.Settings, env Environment, metrics int) (*FleetSidecar, error) {
 	d := &FleetSidecar{settings: s, env: env, started: env.Clock.Now(), caller: caller.New(caller.Settings{}, env.Network, env.Clock)}
 	client := platform.New(s, env.Network, env.Clock)
 	d.follower = follower.New(follower.Settings{Interval: sidecarInterval}, client, env.Clock, d.watch, env.Log,
@@ -88,23 +92,32 @@
 		return nil, fmt.Errorf("listen for datagrams: %w", err)
 	}
 	d.conn = conn
+	r := recorder.New()
+	r.Gauge("targets_listed", func() float64 { return float64(len(d.follower.Instances())) })
+	r.Gauge("orders_accepted", func() float64 { return float64(d.orders.Load()) })
+	d.metrics = newMetricsServer(s.IP, metrics, r)
 	return d, nil
 }
 
 // Start begins to run.
-func (d *FleetSidecar) Start() {
+func (d *FleetSidecar) Start() error {
+	if err := serveMetrics(d.metrics, d.env.Network, d.tasks.Go); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
 	d.tasks.Go(func() { d.follower.RunInstances(ctx) })
 	d.tasks.Go(func() { d.plan(ctx) })
 	d.tasks.Go(d.listen)
 	d.env.Log.Info("sidecar started", "process", d.settings.Name, "engine", d.settings.Engine)
+	return nil
 }
 
 // Stop ends the sidecar.
 func (d *FleetSidecar) Stop() {
 	d.stop()
 	_ = d.conn.Close()
+	_ = d.metrics.Close()
 	d.tasks.Wait()
 	d.env.Log.Info("sidecar stopped", "process", d.settings.Name)
 }
@@ -253,6 +266,7 @@
 	if status != http.StatusAccepted && status != http.StatusOK {
 		return fmt.Errorf("%w: status %d", errOrder, status)
 	}
+	d.orders.Add(1)
 	d.env.Log.Info("engine ordered", "engine", o.Instance, "role", o.Role, "after", o.After, "status", status)
 	return nil
 }
