Leave what is known of usage behind when an entry stops

Ruled out: relaying all counts in datagrams (28 KB each with 28 entries).

Change: a stopping entry writes all counts that it knows of the newest windows in a row; who reports reads these rows before it freezes a window.

--- a/coordination/biller/biller.go
+++ b/coordination/biller/biller.go
@@ -17,7 +17,23 @@
 // Duty is the name of the lease under which usage is reported.
 const Duty = "usage"
 
-const frozenKey = "usage/frozen"
+const (
+	frozenKey  = "usage/frozen"
+	partPrefix = "usage/part/" // of rows with what stopped processes knew
+)
+
+// part is the content of a row that a process leaves behind.
+type part struct {
+	Counts []counted `json:"counts"`
+}
+
+// counted is what one lifetime of a process counted in a window.
+type counted struct {
+	Window      int64  `json:"window"`
+	Process     string `json:"process"`
+	Incarnation uint64 `json:"incarnation"`
+	Counts      Counts `json:"counts"`
+}
 
 // frozen is the content of the row with the newest frozen window.
 type frozen struct {
@@ -169,6 +185,81 @@
 	}
 }
 
+// Leave writes down what this process knows of the newest windows, when it
+// stops: those that heard of it may stop next. Process and incarnation are its
+// own.
+func (b *Biller) Leave(ctx context.Context, process string, incarnation uint64) error {
+	at, ok := b.now()
+	if !ok {
+		return nil
+	}
+	data, err := json.Marshal(b.known(b.window(at)-recent, counter{process, incarnation}))
+	if err != nil {
+		return fmt.Errorf("encode usage known: %w", err)
+	}
+	key := partPrefix + process
+	version := int64(0)
+	r, err := b.table.Read(ctx, key)
+	switch {
+	case err == nil:
+		version = r.Version
+	case !errors.Is(err, radishspoke.ErrNotFound):
+		return fmt.Errorf("read usage left before: %w", err)
+	}
+	err = b.table.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: key, Value: data, Version: version})
+	if err != nil {
+		return fmt.Errorf("leave usage: %w", err)
+	}
+	return nil
+}
+
+// known returns all counts since a window. What this process counted itself
+// goes under its own name.
+func (b *Biller) known(since int64, self counter) part {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out part
+	for w, m := range b.windows {
+		if w < since {
+			continue
+		}
+		for by, c := range m {
+			if by == (counter{}) {
+				by = self
+			}
+			copied := Counts{}
+			for t, n := range c {
+				copied[t] = n
+			}
+			out.Counts = append(out.Counts, counted{w, by.process, by.incarnation, copied})
+		}
+	}
+	return out
+}
+
+// collect takes what stopped processes have left.
+func (b *Biller) collect(ctx context.Context) error {
+	rows, err := b.table.List(ctx, partPrefix)
+	if err != nil {
+		return fmt.Errorf("read usage left behind: %w", err)
+	}
+	at, _ := b.now()
+	oldest := b.window(at) - b.settings.Kept
+	for _, r := range rows {
+		var p part
+		if err := json.Unmarshal(r.Value, &p); err != nil {
+			b.log.Error("usage left behind is unreadable", "row", r.Key, "error", err)
+			continue
+		}
+		for _, c := range p.Counts {
+			if c.Window >= oldest {
+				b.Heard(c.Process, c.Incarnation, c.Window, c.Counts)
+			}
+		}
+	}
+	return nil
+}
+
 // Step reports what is due, if this process holds the duty.
 func (b *Biller) Step(ctx context.Context) error {
 	at, known := b.now()
@@ -203,6 +294,9 @@
 		if next > due {
 			return nil
 		}
+		if err := b.collect(ctx); err != nil {
+			return err
+		}
 		if err := b.freeze(ctx, next); err != nil {
 			return err
 		}
--- a/coordination/biller/biller_test.go
+++ b/coordination/biller/biller_test.go
@@ -110,6 +110,31 @@
 	c.Assert(o.intake.got, qt.HasLen, 3)
 }
 
+// TestStopsInTurn stops every entry, one after the other, so that none is left
+// that heard of the first: what they knew was written down.
+func TestStopsInTurn(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	o := newOffice(c)
+	a, b := o.biller("a"), o.biller("b")
+	c.Assert(a.Step(ctx), qt.IsNil)
+	w := start.Unix() / 5
+	a.Begun("t")
+	b.Heard("killed", 4, w, biller.Counts{"t": 5}) // b alone had heard of it
+	b.Begun("u")
+	c.Assert(a.Leave(ctx, "a", 1), qt.IsNil)
+	c.Assert(b.Leave(ctx, "b", 1), qt.IsNil)
+	next := o.biller("a") // its next lifetime
+	next.Heard("b", 1, w, biller.Counts{"u": 1})
+	o.now = start.Add(3 * time.Second)
+	c.Assert(next.Step(ctx), qt.IsNil)
+	next.Begun("t")
+	o.now = start.Add(7 * time.Second)
+	c.Assert(next.Step(ctx), qt.IsNil)
+	c.Assert(o.intake.got, qt.DeepEquals, []string{"1 0 map[t:7 u:1]"})
+	c.Assert(next.Leave(ctx, "a", 2), qt.IsNil) // over the row of the lifetime before
+}
+
 // TestLostFreeze loses the answer to the write that freezes a window.
 func TestLostFreeze(t *testing.T) {
 	c := qt.New(t)
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -196,10 +196,13 @@
 	lastTime = 200 * time.Millisecond
 
 	// stopMargin is what is left of the grace when the last connections are
-	// closed.
-	stopMargin = 700 * time.Millisecond
+	// closed; it holds the write of usage and the last datagrams.
+	stopMargin = 900 * time.Millisecond
 
 	idlePoll = 20 * time.Millisecond
+
+	// usageTimeout bounds the write of what a stopping entry knows of usage.
+	usageTimeout = 300 * time.Millisecond
 )
 
 // Stop ends the entry so that no request is cut: it says that it is not ready,
@@ -224,6 +227,11 @@
 		e.env.Log.Warn("requests cut at the end of the grace", "requests", n)
 	}
 	_ = e.callers.Close()
+	left, cancel := context.WithTimeout(context.Background(), usageTimeout)
+	if err := e.biller.Leave(left, e.settings.Name, e.gossiper.Incarnation()); err != nil {
+		e.env.Log.Warn("usage not left behind", "error", err)
+	}
+	cancel()
 	e.gossiper.Leave()
 	time.Sleep(2 * gossipInterval) // the last counts reach the others
 	e.stop()
--- a/state/gossiper/gossiper.go
+++ b/state/gossiper/gossiper.go
@@ -168,6 +168,14 @@
 	return out
 }
 
+// Incarnation returns the number of this lifetime of the process, 0 until it is
+// announced.
+func (g *Gossiper) Incarnation() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.incarnation
+}
+
 // Leave makes the next datagrams say that this process leaves.
 func (g *Gossiper) Leave() {
 	g.mu.Lock()
