--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -57,6 +57,7 @@
 	Generator(group, from string, not map[string]bool) (radishspoke.Instance, error)
 	Short(group string, not map[string]bool) (radishspoke.Instance, error)
 	Plain(group string, not map[string]bool) (radishspoke.Instance, error)
+	Full(group string) bool
 	Begin(target string)
 	End(target string, r placer.Report)
 }
--- a/coordination/forwarder/generate.go
+++ b/coordination/forwarder/generate.go
@@ -84,6 +84,9 @@
 	if own < readApart {
 		return prompt{}, nil
 	}
+	if f.Placer.Full(j.group.Name) {
+		return prompt{}, f.failed(j, "engine", "no engine takes another answer now")
+	}
 	for {
 		t, expected, err := f.Placer.Reader(j.group.Name, j.in.Generating, f.Turns.Expect, j.tried)
 		if err != nil {
--- a/coordination/placer/placer_test.go
+++ b/coordination/placer/placer_test.go
@@ -204,6 +204,25 @@
 	c.Assert(e.ID, qt.Equals, home.ID)
 }
 
+// TestFull answers a rush of answers that fills every engine which generates:
+// until one is due to be tried again, no prompt is read for them.
+func TestFull(t *testing.T) {
+	c := qt.New(t)
+	p, clock := newPlacer(1, "z0", engines(1, 2))
+	c.Assert(p.Full("g"), qt.IsFalse)
+	for _, id := range []string{"e1", "e2"} {
+		c.Assert(p.Full("g"), qt.IsFalse)
+		for range 2 {
+			p.Begin(id)
+			p.End(id, placer.Report{NotReady: true})
+		}
+	}
+	c.Assert(p.Full("g"), qt.IsTrue)
+	c.Assert(p.Full("none"), qt.IsFalse)
+	clock.At += 600 * ms
+	c.Assert(p.Full("g"), qt.IsFalse)
+}
+
 // TestLeaving answers targets that leave and come back as another lifetime.
 func TestLeaving(t *testing.T) {
 	c := qt.New(t)
--- a/internal/fake/target.go
+++ b/internal/fake/target.go
@@ -43,6 +43,9 @@
 	Unframed bool
 }
 
+// HeaderID is the header with a request's id, which targets echo.
+const HeaderID = "Radishspoke-Request-Id"
+
 // NewTarget returns a target that answers with what answer returns.
 func NewTarget(id string, answer func(r *http.Request, body []byte) *TargetAnswer) *Target {
 	return &Target{ID: id, Answer: answer}
@@ -104,8 +107,8 @@
 	if h == nil {
 		h = http.Header{}
 	}
-	if h.Get("Radishspoke-Request-Id") == "" {
-		h.Set("Radishspoke-Request-Id", r.Header.Get("Radishspoke-Request-Id"))
+	if h.Get(HeaderID) == "" {
+		h.Set(HeaderID, r.Header.Get(HeaderID))
 	}
 	if !a.Unframed {
 		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
--- a/transport/caller/caller_test.go
+++ b/transport/caller/caller_test.go
@@ -33,8 +33,8 @@
 
 func call(id string) *caller.Call {
 	return &caller.Call{
-		Method: http.MethodPost, Target: "/p%2F/x?q=1", Host: "h.example", Header: http.Header{"Radishspoke-Request-Id": {id}}, Body: []byte("body"),
-		Mine: func(_ int, h http.Header) bool { return h.Get("Radishspoke-Request-Id") == id },
+		Method: http.MethodPost, Target: "/p%2F/x?q=1", Host: "h.example", Header: http.Header{fake.HeaderID: {id}}, Body: []byte("body"),
+		Mine: func(_ int, h http.Header) bool { return h.Get(fake.HeaderID) == id },
 	}
 }
 
@@ -68,10 +68,10 @@
 // bytes behind an answer.
 func TestStray(t *testing.T) {
 	c := qt.New(t)
-	stray := "HTTP/1.1 200 OK\r\nRadishspoke-Request-Id: other\r\nContent-Length: 5\r\n\r\nWRONG"
+	stray := "HTTP/1.1 200 OK\r\n" + fake.HeaderID + ": other\r\nContent-Length: 5\r\n\r\nWRONG"
 	target, address := serve(c, func(r *http.Request, _ []byte) *fake.TargetAnswer {
 		a := &fake.TargetAnswer{Status: 200, Body: "mine"}
-		switch r.Header.Get("Radishspoke-Request-Id") {
+		switch r.Header.Get(fake.HeaderID) {
 		case "before":
 			a.Before = stray
 		case "after":
@@ -96,7 +96,7 @@
 func TestNeverMine(t *testing.T) {
 	c := qt.New(t)
 	_, address := serve(c, func(*http.Request, []byte) *fake.TargetAnswer {
-		return &fake.TargetAnswer{Status: 200, Header: http.Header{"Radishspoke-Request-Id": {"other"}}, Body: "WRONG", Unframed: true}
+		return &fake.TargetAnswer{Status: 200, Header: http.Header{fake.HeaderID: {"other"}}, Body: "WRONG", Unframed: true}
 	})
 	_, _, err := do(newCaller(), address, call("a"))
 	c.Assert(err, qt.ErrorIs, caller.ErrLost)
@@ -106,7 +106,7 @@
 func TestEnds(t *testing.T) {
 	c := qt.New(t)
 	target, address := serve(c, func(r *http.Request, _ []byte) *fake.TargetAnswer {
-		switch r.Header.Get("Radishspoke-Request-Id") {
+		switch r.Header.Get(fake.HeaderID) {
 		case "cut":
 			return &fake.TargetAnswer{Status: 200, Body: "whole", Cut: 2}
 		case "unframed":
@@ -171,7 +171,7 @@
 				return
 			}
 			conns <- n
-			_, _ = n.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nRadishspoke-Request-Id: a\r\nContent-Length: 0\r\n\r\n"))
+			_, _ = n.Write([]byte("HTTP/1.1 503 Service Unavailable\r\n" + fake.HeaderID + ": a\r\nContent-Length: 0\r\n\r\n"))
 		}
 	}()
 	p := newCaller()
