--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -12,7 +12,7 @@
 	"radishspoke"
 	"radishspoke/coordination/authenticator"
 	"radishspoke/coordination/placer"
-	"radishspoke/coordination/usher"
+	"radishspoke/coordination/sequencer"
 	"radishspoke/platform"
 	"radishspoke/transport/caller"
 )
@@ -65,7 +65,7 @@
 // Turns orders the prompts that engines read.
 type Turns interface {
 	Expect(engine string) time.Duration
-	Wait(ctx context.Context, engine string, t usher.Ticket) (func(took time.Duration), error)
+	Wait(ctx context.Context, engine string, t sequencer.Ticket) (func(took time.Duration), error)
 }
 
 // Targets makes calls to targets.
--- a/coordination/forwarder/generate.go
+++ b/coordination/forwarder/generate.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"radishspoke"
-	"radishspoke/coordination/usher"
+	"radishspoke/coordination/sequencer"
 	"radishspoke/platform"
 	"radishspoke/transport/caller"
 )
@@ -93,7 +93,7 @@
 			return prompt{}, f.failed(j, "engine", err.Error())
 		}
 		asked := f.Clock.Now()
-		done, err := f.Turns.Wait(ctx, t.ID, usher.Ticket{Rank: j.team.Rank, OnTime: j.onTime, Deadline: j.deadline, Rest: handOver})
+		done, err := f.Turns.Wait(ctx, t.ID, sequencer.Ticket{Rank: j.team.Rank, OnTime: j.onTime, Deadline: j.deadline, Rest: handOver})
 		j.turn += f.Clock.Now() - asked
 		if err != nil {
 			return prompt{}, f.failed(j, "queue", "the prompt can't be read before the deadline")
--- a/coordination/placer/outcome.go
+++ b/coordination/placer/outcome.go
@@ -49,14 +49,14 @@
 	t.failed += failureWeight * (outcome - t.failed)
 	switch {
 	case r.Silent:
-		t.banish(now)
+		t.eject(now)
 	case r.NotReady:
 		t.refusals++
 		if t.Role != "" && t.refusals >= manyRefusals {
-			t.exile = now + min(mostExile, firstExile<<min(t.refusals-manyRefusals, 8))
+			t.ejected = now + min(mostEjection, firstEjection<<min(t.refusals-manyRefusals, 8))
 		}
 	case !r.Failed:
-		t.failures, t.refusals, t.exile = 0, 0, 0
+		t.failures, t.refusals, t.ejected = 0, 0, 0
 	}
 	if r.Source != "" {
 		p.handedOver(t, r, now)
@@ -74,7 +74,7 @@
 		// The engine takes what others have read, so the cache has lapsed.
 		source.lapses++
 		if source.lapses >= manyLapses {
-			source.lapsing = now + lapseExile
+			source.lapsing = now + lapseEjection
 		}
 	case !r.Failed && !r.Silent:
 		source.lapses = 0
@@ -82,7 +82,7 @@
 	}
 }
 
-func (t *target) banish(now time.Duration) {
-	t.exile = now + min(mostExile, firstExile<<min(t.failures, 8))
+func (t *target) eject(now time.Duration) {
+	t.ejected = now + min(mostEjection, firstEjection<<min(t.failures, 8))
 	t.failures++
 }
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -43,8 +43,8 @@
 	defaultMemory   = 4 * time.Second
 	defaultWaste    = 50
 
-	firstExile = 500 * time.Millisecond // after one failure; doubles with each
-	mostExile  = 8 * time.Second
+	firstEjection = 500 * time.Millisecond // after one failure; doubles with each
+	mostEjection  = 8 * time.Second
 
 	// mostParts bounds the parts remembered for one engine.
 	mostParts = 4096
@@ -71,9 +71,9 @@
 	manyRefusals = 2
 
 	// manyLapses is the number of KV caches in a row that an engine could
-	// not hand over, after which nothing is read there for lapseExile.
-	manyLapses = 3
-	lapseExile = time.Second
+	// not hand over, after which nothing is read there for lapseEjection.
+	manyLapses    = 3
+	lapseEjection = time.Second
 
 	paceWeight = 0.1 // of the newest hand-over in the mean
 	mostPace   = 300 * time.Millisecond
@@ -107,7 +107,7 @@
 	failures int           // in a row, without a sign of life
 	refusals int           // in a row
 	lapses   int           // in a row, of KV caches that the target kept
-	exile    time.Duration // until when the target is passed over
+	ejected  time.Duration // until when the target is passed over
 	lapsing  time.Duration // until when nothing is read there
 	pace     time.Duration // mean time of the hand-over of a KV cache
 	failed   float64       // mean share of failed requests
@@ -163,7 +163,7 @@
 		if t.Role != radishspoke.DecodeRole {
 			continue
 		}
-		if now >= t.exile {
+		if now >= t.ejected {
 			return false
 		}
 		generators++
@@ -285,8 +285,8 @@
 	return best.Instance, nil
 }
 
-// usable returns the targets of a group and role that are not in exile, or
-// else the one whose exile ends first.
+// usable returns the targets of a group and role that are not ejected, or
+// else the one that is back first.
 func (p *Placer) usable(group string, role radishspoke.Role, not map[string]bool) []*target {
 	now := p.clock.Now()
 	var out []*target
@@ -295,10 +295,10 @@
 		if t.Role != role || not[t.ID] {
 			continue
 		}
-		// After an exile, one request at a time shows whether it is over.
-		if now >= max(t.exile, t.lapsing) && (t.failures == 0 || t.busy == 0) {
+		// After an ejection, one request at a time shows whether it is over.
+		if now >= max(t.ejected, t.lapsing) && (t.failures == 0 || t.busy == 0) {
 			out = append(out, t)
-		} else if first == nil || max(t.exile, t.lapsing) < max(first.exile, first.lapsing) {
+		} else if first == nil || max(t.ejected, t.lapsing) < max(first.ejected, first.lapsing) {
 			first = t
 		}
 	}
--- a/coordination/usher/usher.go
+++ b/coordination/sequencer/sequencer.go
@@ -1,4 +1,4 @@
-package usher
+package sequencer
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 // ErrHopeless says that a request can't be answered before its deadline.
 var ErrHopeless = errors.New("no turn before the deadline")
 
-// Settings of an Usher.
+// Settings of a Sequencer.
 type Settings struct {
 	// Window is the most prompts under way at one engine; 1 if zero.
 	Window int
@@ -47,7 +47,7 @@
 	}
 }
 
-// Ticket is one request for a turn. Times are of the usher's clock.
+// Ticket is one request for a turn. Times are of the sequencer's clock.
 type Ticket struct {
 	Rank     int           // lower goes first among those on time
 	OnTime   time.Duration // until when an answer is on time
@@ -66,9 +66,9 @@
 	granted int           // turns since the last late one
 }
 
-// Usher orders the prompts of one process. Its methods may be called at once
+// Sequencer orders the prompts of one process. Its methods may be called at once
 // from many goroutines. Make it with New.
-type Usher struct {
+type Sequencer struct {
 	settings Settings
 	clock    radishspoke.Clock
 
@@ -76,29 +76,29 @@
 	queues map[string]*queue // by engine
 }
 
-// New returns an Usher without requests.
-func New(s Settings, c radishspoke.Clock) *Usher {
+// New returns a Sequencer without requests.
+func New(s Settings, c radishspoke.Clock) *Sequencer {
 	s.fill()
-	return &Usher{settings: s, clock: c, queues: map[string]*queue{}}
+	return &Sequencer{settings: s, clock: c, queues: map[string]*queue{}}
 }
 
 // Expect returns how long a new request would wait for its turn at an engine,
 // and take it.
-func (u *Usher) Expect(engine string) time.Duration {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	q, ok := u.queues[engine]
+func (s *Sequencer) Expect(engine string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q, ok := s.queues[engine]
 	if !ok {
-		return u.settings.Pace
+		return s.settings.Pace
 	}
-	return time.Duration(1+(len(q.waiting)+q.busy)/u.settings.Window) * q.pace
+	return time.Duration(1+(len(q.waiting)+q.busy)/s.settings.Window) * q.pace
 }
 
 // Waiting returns how many requests wait for a turn at an engine.
-func (u *Usher) Waiting(engine string) int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if q, ok := u.queues[engine]; ok {
+func (s *Sequencer) Waiting(engine string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if q, ok := s.queues[engine]; ok {
 		return len(q.waiting)
 	}
 	return 0
@@ -107,41 +107,41 @@
 // Wait waits for a turn. Done must be called when the turn is over, with the
 // time that it took, or 0 if that says nothing of the engine. The error is
 // ErrHopeless or that of ctx.
-func (u *Usher) Wait(ctx context.Context, engine string, t Ticket) (done func(took time.Duration), err error) {
+func (s *Sequencer) Wait(ctx context.Context, engine string, t Ticket) (done func(took time.Duration), err error) {
 	t.granted = make(chan error, 1)
-	u.mu.Lock()
-	q, ok := u.queues[engine]
+	s.mu.Lock()
+	q, ok := s.queues[engine]
 	if !ok {
-		q = &queue{pace: u.settings.Pace}
-		u.queues[engine] = q
+		q = &queue{pace: s.settings.Pace}
+		s.queues[engine] = q
 	}
-	if q.hopeless(&t, u.clock.Now(), u.settings.Window) {
-		u.mu.Unlock()
+	if q.hopeless(&t, s.clock.Now(), s.settings.Window) {
+		s.mu.Unlock()
 		return nil, ErrHopeless
 	}
 	t.queue = q
 	q.waiting = append(q.waiting, &t)
-	u.grant(q)
-	u.mu.Unlock()
+	s.grant(q)
+	s.mu.Unlock()
 	select {
 	case err = <-t.granted:
 	case <-ctx.Done():
-		err = u.leave(&t, ctx.Err())
+		err = s.leave(&t, ctx.Err())
 	}
 	if err != nil {
 		return nil, err
 	}
 	var once sync.Once
 	return func(took time.Duration) {
-		once.Do(func() { u.done(q, took) })
+		once.Do(func() { s.done(q, took) })
 	}, nil
 }
 
 // leave takes a ticket out of its queue. A turn that it got meanwhile is given
 // back.
-func (u *Usher) leave(t *Ticket, why error) error {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+func (s *Sequencer) leave(t *Ticket, why error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for i, w := range t.queue.waiting {
 		if w == t {
 			t.queue.waiting = append(t.queue.waiting[:i], t.queue.waiting[i+1:]...)
@@ -152,27 +152,27 @@
 		return err
 	}
 	t.queue.busy--
-	u.grant(t.queue)
+	s.grant(t.queue)
 	return why
 }
 
-func (u *Usher) done(q *queue, took time.Duration) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+func (s *Sequencer) done(q *queue, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	q.busy--
 	if took > 0 {
 		took = min(took, mostPace)
 		q.pace += time.Duration(paceWeight * float64(took-q.pace))
 	}
-	u.grant(q)
+	s.grant(q)
 }
 
 // grant gives out the free turns of a queue.
-func (u *Usher) grant(q *queue) {
-	now := u.clock.Now()
+func (s *Sequencer) grant(q *queue) {
+	now := s.clock.Now()
 	q.dismiss(now)
-	for q.busy < u.settings.Window && len(q.waiting) > 0 {
-		i := q.next(now, u.settings.LateShare)
+	for q.busy < s.settings.Window && len(q.waiting) > 0 {
+		i := q.next(now, s.settings.LateShare)
 		t := q.waiting[i]
 		q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
 		q.busy++
--- a/coordination/usher/usher_test.go
+++ b/coordination/sequencer/sequencer_test.go
@@ -1,4 +1,4 @@
-package usher_test
+package sequencer_test
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"radishspoke/coordination/usher"
+	"radishspoke/coordination/sequencer"
 	"radishspoke/internal/trial"
 )
 
@@ -15,17 +15,17 @@
 
 // waiter queues tickets and notes who gets turns.
 type waiter struct {
-	u    *usher.Usher
+	u    *sequencer.Sequencer
 	got  chan string
 	done map[string]func(time.Duration)
 }
 
-func newWaiter(s usher.Settings, c *trial.Clock) *waiter {
-	return &waiter{u: usher.New(s, c), got: make(chan string, 64), done: map[string]func(time.Duration){}}
+func newWaiter(s sequencer.Settings, c *trial.Clock) *waiter {
+	return &waiter{u: sequencer.New(s, c), got: make(chan string, 64), done: map[string]func(time.Duration){}}
 }
 
 // queue asks for a turn and returns once the ticket waits or has its turn.
-func (w *waiter) queue(name string, t usher.Ticket) {
+func (w *waiter) queue(name string, t sequencer.Ticket) {
 	before := w.u.Waiting("e")
 	result := make(chan struct{})
 	go func() {
@@ -55,9 +55,9 @@
 func TestRush(t *testing.T) {
 	c := qt.New(t)
 	clock := &trial.Clock{At: time.Hour}
-	w := newWaiter(usher.Settings{}, clock)
-	at := func(onTime, deadline time.Duration) usher.Ticket {
-		return usher.Ticket{OnTime: clock.At + onTime, Deadline: clock.At + deadline}
+	w := newWaiter(sequencer.Settings{}, clock)
+	at := func(onTime, deadline time.Duration) sequencer.Ticket {
+		return sequencer.Ticket{OnTime: clock.At + onTime, Deadline: clock.At + deadline}
 	}
 	w.queue("first", at(150*ms, 2000*ms))
 	c.Assert(<-w.got, qt.Equals, "first")
@@ -80,9 +80,9 @@
 func TestRank(t *testing.T) {
 	c := qt.New(t)
 	clock := &trial.Clock{At: time.Hour}
-	w := newWaiter(usher.Settings{}, clock)
-	ticket := func(rank int) usher.Ticket {
-		return usher.Ticket{Rank: rank, OnTime: clock.At + 150*ms, Deadline: clock.At + 2000*ms}
+	w := newWaiter(sequencer.Settings{}, clock)
+	ticket := func(rank int) sequencer.Ticket {
+		return sequencer.Ticket{Rank: rank, OnTime: clock.At + 150*ms, Deadline: clock.At + 2000*ms}
 	}
 	w.queue("first", ticket(0))
 	<-w.got
@@ -97,15 +97,15 @@
 func TestHopelessAtOnce(t *testing.T) {
 	c := qt.New(t)
 	clock := &trial.Clock{At: time.Hour}
-	w := newWaiter(usher.Settings{Pace: 100 * ms}, clock)
+	w := newWaiter(sequencer.Settings{Pace: 100 * ms}, clock)
 	refused := 0
 	for range 30 {
 		_, err := w.u.Wait(func() context.Context {
 			ctx, cancel := context.WithTimeout(context.Background(), ms)
 			t.Cleanup(cancel)
 			return ctx
-		}(), "other", usher.Ticket{OnTime: clock.At + 150*ms, Deadline: clock.At + 50*ms})
-		c.Assert(err, qt.ErrorIs, usher.ErrHopeless)
+		}(), "other", sequencer.Ticket{OnTime: clock.At + 150*ms, Deadline: clock.At + 50*ms})
+		c.Assert(err, qt.ErrorIs, sequencer.ErrHopeless)
 		refused++
 	}
 	c.Assert(refused, qt.Equals, 30)
@@ -117,8 +117,8 @@
 func TestLeave(t *testing.T) {
 	c := qt.New(t)
 	clock := &trial.Clock{At: time.Hour}
-	w := newWaiter(usher.Settings{}, clock)
-	ticket := usher.Ticket{OnTime: clock.At + 150*ms, Deadline: clock.At + 2000*ms}
+	w := newWaiter(sequencer.Settings{}, clock)
+	ticket := sequencer.Ticket{OnTime: clock.At + 150*ms, Deadline: clock.At + 2000*ms}
 	w.queue("first", ticket)
 	<-w.got
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -22,7 +22,7 @@
 	"radishspoke/coordination/placer"
 	"radishspoke/coordination/pooler"
 	"radishspoke/coordination/retrier"
-	"radishspoke/coordination/usher"
+	"radishspoke/coordination/sequencer"
 	"radishspoke/platform"
 	"radishspoke/state/follower"
 	"radishspoke/state/gossiper"
@@ -42,7 +42,7 @@
 	follower  *follower.Follower
 	keys      *authenticator.Authenticator
 	placer    *placer.Placer
-	usher     *usher.Usher
+	sequencer *sequencer.Sequencer
 	caller    *caller.Caller
 	gossiper  *gossiper.Gossiper
 	pooler    *pooler.Pooler
@@ -112,7 +112,7 @@
 	e.client.Observe(e.time.Observe)
 	e.keys = authenticator.New(e.standing)
 	e.placer = placer.New(placer.Settings{Zone: s.Zone}, clock, rand.New(rand.NewPCG(env.Seed, 1)))
-	e.usher = usher.New(usher.Settings{}, clock)
+	e.sequencer = sequencer.New(sequencer.Settings{}, clock)
 	e.caller = caller.New(caller.Settings{}, env.Network, clock)
 	e.follower = follower.New(follower.Settings{}, e.client, clock, e.watch, env.Log, e.configure, e.placer.List)
 	e.pooler = pooler.New(pooler.Settings{}, clock, e.peers)
@@ -129,7 +129,7 @@
 	e.gossiper = gossiper.New(gossiper.Settings{Process: s.Name, Address: address}, e.table, datagrams, clock, env.Log, e.tell, e.hear)
 	f := forwarder.New(forwarder.Parts{
 		Tables: e.follower, Keys: e.keys, Limits: e.pooler, Repeats: e.repeats, Usage: e.biller, Placer: e.placer,
-		Turns: e.usher, Targets: e.caller, Stop: e, Recorder: e.recorder, Clock: clock, Log: env.Log,
+		Turns: e.sequencer, Targets: e.caller, Stop: e, Recorder: e.recorder, Clock: clock, Log: env.Log,
 	})
 	logger := slog.NewLogLogger(env.Log.Handler(), slog.LevelDebug)
 	e.callers = &http.Server{
--- a/state/gossiper/discovery.go
+++ b/state/gossiper/discovery.go
@@ -82,7 +82,7 @@
 	}
 	g.mu.Unlock()
 	for _, r := range dead {
-		if err := g.bury(ctx, r); err != nil {
+		if err := g.retire(ctx, r); err != nil {
 			return err
 		}
 	}
@@ -106,8 +106,8 @@
 	return g.incarnation > 0 && r.Incarnation == g.incarnation && !r.Left
 }
 
-// bury marks the row of a peer that has been silent for long.
-func (g *Gossiper) bury(ctx context.Context, r radishspoke.Row) error {
+// retire marks the row of a peer that has been silent for long.
+func (g *Gossiper) retire(ctx context.Context, r radishspoke.Row) error {
 	var content row
 	if err := json.Unmarshal(r.Value, &content); err != nil {
 		return fmt.Errorf("decode %s: %w", r.Key, err)
