Decode only what is used

Cause: sizes of engines and fields of targets were decoded and read by nobody.

Change: they are gone from the types; no behaviour.

--- a/routing.go
+++ b/routing.go
@@ -53,9 +53,7 @@
 
 // Group describes the targets of one service.
 type Group struct {
-	Name        string
-	HealthPath  string
-	Connections int // most that one target accepts
+	Name string
 
 	// Engine is nil for plain services.
 	Engine *EngineLimits
@@ -63,14 +61,7 @@
 
 // EngineLimits are the sizes of a group's engines.
 type EngineLimits struct {
-	Slots       int // requests that run at once
-	CacheTokens int
-	TokenBytes  int     // of KV cache
-	LinkMbps    float64 // between engines
-
-	// HandleHold is how long an engine keeps the KV cache of a prompt that
-	// it has read until another one fetches it.
-	HandleHold time.Duration
+	Slots int // requests that run at once
 
 	// SwitchTime is how long a change of role takes, once work has ended.
 	SwitchTime time.Duration
@@ -106,17 +97,15 @@
 
 // Instance is one lifetime of a target, as the platform lists it.
 type Instance struct {
-	ID       string
-	Group    string
-	Address  string // IP:port
-	Zone     string
-	Slots    int
-	Role     Role // PrefillRole or DecodeRole; empty for plain services
-	Model    string
-	Leaving  bool
-	Beat     int64 // grows with each report
-	Born     time.Time
-	ColdLeft time.Duration // how much longer the target stays slow
+	ID      string
+	Group   string
+	Address string // IP:port
+	Zone    string
+	Slots   int
+	Role    Role // PrefillRole or DecodeRole; empty for plain services
+	Model   string
+	Leaving bool
+	Born    time.Time
 }
 
 // Generating is what a request to a model says of its prompt.
