--- a/cmd/radishspoked/daemon.go
+++ b/cmd/radishspoked/daemon.go
@@ -34,7 +34,7 @@
 			if path, ok := onPlatform(c); ok {
 				return runFleetEntry(ctx, path, c.Int(metricsFlag))
 			}
-			s, err := parser.LoadSettings(c.String("settings"))
+			s, err := ownSettings(c)
 			if err != nil {
 				return err
 			}
@@ -62,7 +62,7 @@
 			if path, ok := onPlatform(c); ok {
 				return runFleetSidecar(ctx, path, c.Int(metricsFlag))
 			}
-			s, err := parser.LoadSettings(c.String("settings"))
+			s, err := ownSettings(c)
 			if err != nil {
 				return err
 			}
--- a/cmd/radishspoked/fleet.go
+++ b/cmd/radishspoked/fleet.go
@@ -8,15 +8,29 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"radishspoke/internal/assembler"
 	"radishspoke/platform"
+	"radishspoke/state/parser"
 	"radishspoke/state/printer"
 	"radishspoke/transport"
 	"radishspoke/transport/ticker"
 )
 
+// errNoSettings says that a process has no settings at all.
+var errNoSettings = errors.New("no settings: name a file with --settings, or run on the platform, which sets " + platform.SettingsVariable)
+
+// ownSettings reads the settings file that the command line names.
+func ownSettings(c *cli.Command) (parser.Settings, error) {
+	path := c.String("settings")
+	if path == "" {
+		return parser.Settings{}, errNoSettings
+	}
+	return parser.LoadSettings(path)
+}
+
 // onPlatform returns the path of the platform's settings file, if this process
 // has no settings of its own and runs there.
 func onPlatform(c *cli.Command) (string, bool) {
--- a/cmd/radishspoked/main.go
+++ b/cmd/radishspoked/main.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"radishspoke"
+	"radishspoke/platform"
 	"radishspoke/state/parser"
 )
 
@@ -29,7 +30,7 @@
 	if err := command().Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "radishspoked:", err)
 		var faults parser.Errors
-		if errors.As(err, &faults) {
+		if errors.As(err, &faults) || errors.Is(err, platform.ErrSettings) || errors.Is(err, errNoSettings) {
 			os.Exit(exitSettings)
 		}
 		os.Exit(exitFailed)
