--- a/internal/assembler/fleet_test.go
+++ b/internal/assembler/fleet_test.go
@@ -64,7 +64,8 @@
 }
 
 func (k *fleetCaller) ask(id string) (*http.Response, error) {
-	_, err := fmt.Fprintf(k.conn, "POST /p/ HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\nRadishspoke-Key: secret\r\nContent-Length: 0\r\n\r\n", fake.HeaderID, id)
+	_, err := fmt.Fprintf(k.conn, "POST /p/ HTTP/1.1\r\nHost: shop.example\r\n%s: %s\r\n%s: secret\r\nContent-Length: 0\r\n\r\n",
+		fake.HeaderID, id, fake.HeaderKey)
 	if err != nil {
 		return nil, err
 	}
@@ -89,7 +90,7 @@
 	defer func() { _ = l.Close() }()
 	target := fake.NewTarget("d1", func(*http.Request, []byte) *fake.TargetAnswer {
 		time.Sleep(5 * time.Millisecond)
-		return &fake.TargetAnswer{Status: 200, Header: http.Header{"Radishspoke-Server-Stamp": {"x"}}, Body: "done"}
+		return &fake.TargetAnswer{Status: 200, Header: http.Header{fake.HeaderStamp: {"x"}}, Body: "done"}
 	})
 	go target.Serve(l)
 	rows.Put(platform.OperatorTable, platform.ConfigurationKey, []byte(fleetConfig))
@@ -170,7 +171,7 @@
 			return &fake.TargetAnswer{Status: 200, Body: fmt.Sprintf(`{"Phase":%q,"Sequence":%d}`, role, orders)}
 		}
 		role, orders = "prefill", orders+1
-		ordered <- r.Header.Get("Radishspoke-Expect-Instance") + " " + string(body)
+		ordered <- r.Header.Get(fake.HeaderInstance) + " " + string(body)
 		return &fake.TargetAnswer{Status: 202}
 	})
 	go engine.Serve(l)
--- a/internal/fake/target.go
+++ b/internal/fake/target.go
@@ -43,8 +43,13 @@
 	Unframed bool
 }
 
-// HeaderID is the header with a request's id, which targets echo.
-const HeaderID = "Radishspoke-Request-Id"
+// Headers that tests of other packages need.
+const (
+	HeaderID       = "Radishspoke-Request-Id"      // of a request; targets echo it
+	HeaderKey      = "Radishspoke-Key"             // a caller's key
+	HeaderStamp    = "Radishspoke-Server-Stamp"    // on a target's own answers
+	HeaderInstance = "Radishspoke-Expect-Instance" // the lifetime that must answer
+)
 
 // NewTarget returns a target that answers with what answer returns.
 func NewTarget(id string, answer func(r *http.Request, body []byte) *TargetAnswer) *Target {
