Send long prompts once, through the sidecar, from hosts with slow links

Cause: on the grown sites most entries have links of 10 Mbit/s, and a long prompt's body goes out twice, to the engine that reads and to the one that generates.

Ruled out: the order of prompts over all entries.

Change: package relayer. An entry whose link takes over 2 ms for a body sends the request to the sidecar of the reading engine, which orders the prompts of all such entries, has them read, and sends the request on to the engine that the entry chose. A sidecar that is away or silent is passed by.

Also: a key was looked at once, on arrival. A request of an entry that is cut off could wait in a queue beyond the time for which keys can be trusted. It is looked at again before each send, and an order states until when it may start; TestWithdrawnWhileQueued failed without (200 instead of 503).

The way is chosen by cost.

--- a/coordination/forwarder/forwarder.go
+++ b/coordination/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"radishspoke"
 	"radishspoke/coordination/authenticator"
 	"radishspoke/coordination/placer"
+	"radishspoke/coordination/relayer"
 	"radishspoke/coordination/sequencer"
 	"radishspoke/platform"
 	"radishspoke/transport/caller"
@@ -27,6 +28,17 @@
 	// Check returns the key of a secret. The error is one of package
 	// authenticator.
 	Check(secret string) (radishspoke.Key, error)
+
+	// Valid returns nil if a key that was checked before may still start
+	// work.
+	Valid(k radishspoke.Key) error
+}
+
+// Proofs tells how long keys can be trusted.
+type Proofs interface {
+	// Until returns the time on the clock until which the configuration at
+	// hand can be trusted to have all withdrawals.
+	Until() time.Duration
 }
 
 // Limits holds teams to their rates.
@@ -68,6 +80,13 @@
 	Wait(ctx context.Context, engine string, t sequencer.Ticket) (func(took time.Duration), error)
 }
 
+// Relays takes requests through two engines beside the first one.
+type Relays interface {
+	Pays(engine string, size int) bool
+	Expect(engine string) (time.Duration, bool)
+	Do(ctx context.Context, engine string, o *relayer.Order, p relayer.Progress) (*caller.Answer, relayer.Outcome, error)
+}
+
 // Targets makes calls to targets.
 type Targets interface {
 	Do(ctx context.Context, address string, c *caller.Call) (*caller.Answer, error)
@@ -91,11 +110,13 @@
 type Parts struct {
 	Tables   Tables
 	Keys     Keys
+	Proofs   Proofs
 	Limits   Limits
 	Repeats  Repeats
 	Usage    Usage
 	Placer   Placer
 	Turns    Turns
+	Relays   Relays
 	Targets  Targets
 	Recorder Recorder
 	Stop     Stop
@@ -140,6 +161,7 @@
 	rule  radishspoke.PathRule
 	group radishspoke.Group
 	team  radishspoke.TeamRule
+	key   radishspoke.Key // that let it in; empty on open routes
 
 	method, target, host string
 	header               http.Header // without what is the system's to set
@@ -155,6 +177,8 @@
 	tries int             // targets that may have run it
 	path  string          // of targets, for the log
 
+	hopeless bool // the prompt can't be read in time
+
 	// turn is how long the prompt waited for its turn, read how long its
 	// reading took, and sendoff how long the last target took to answer.
 	turn, read, sendoff time.Duration
@@ -264,13 +288,31 @@
 	}
 	for _, t := range table.Teams {
 		if t.Name == key.Team {
-			j.team = t
+			j.team, j.key = t, key
 			return nil
 		}
 	}
 	return notRun(http.StatusUnauthorized, "key", authenticator.ErrBadKey.Error(), 0)
 }
 
+// withdrawn returns the failure of a request whose key may no longer start work:
+// it is asked before each send, as a request may have waited long.
+func (f *Forwarder) withdrawn(j *job) *radishspoke.Failure {
+	if j.key.Hash == "" {
+		return nil
+	}
+	err := f.Keys.Valid(j.key)
+	switch {
+	case err == nil:
+		return nil
+	case j.sent:
+		return f.failed(j, "key", err.Error())
+	case errors.Is(err, authenticator.ErrStanding):
+		return notRun(http.StatusServiceUnavailable, "standing", err.Error(), startPause)
+	}
+	return notRun(http.StatusUnauthorized, "key", err.Error(), 0)
+}
+
 // takeBody takes the body in.
 func (j *job) takeBody(w http.ResponseWriter, r *http.Request) *radishspoke.Failure {
 	if r.ContentLength > mostBody {
--- a/coordination/forwarder/generate.go
+++ b/coordination/forwarder/generate.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"radishspoke"
+	"radishspoke/coordination/placer"
+	"radishspoke/coordination/relayer"
 	"radishspoke/coordination/sequencer"
 	"radishspoke/platform"
-	"radishspoke/transport/caller"
 )
 
 const (
@@ -22,17 +21,12 @@
 
 	// handOver is the time from the end of reading to the first event.
 	handOver = 8 * time.Millisecond
-
-	// readSlack and readFactor bound a reading: the time that it is
-	// expected to take, that many times, and the slack.
-	readSlack  = 250 * time.Millisecond
-	readFactor = 4
-
-	mostHandle = 4 << 10 // bytes of the answer to a reading
 )
 
 // prompt is how a request's prompt comes to the engine that generates.
 type prompt struct {
+	relay  *radishspoke.Instance // the engine whose sidecar takes the request through both; nil if none does
+	expect time.Duration         // until that engine has read it
 	handle *radishspoke.Handle   // of the KV cache, if another engine has read it
 	reader string                // id of that engine
 	zone   string                // of that engine
@@ -40,6 +34,22 @@
 	done   func(time.Duration)   // ends the turn of that engine
 }
 
+// expect returns how long a new prompt would wait for its turn at an engine, and
+// take it.
+func (f *Forwarder) expect(engine string) time.Duration {
+	if d, ok := f.Relays.Expect(engine); ok {
+		return d
+	}
+	return f.Turns.Expect(engine)
+}
+
+// end ends the turn of a prompt, if it has one.
+func (p prompt) end(took time.Duration) {
+	if p.done != nil {
+		p.done(took)
+	}
+}
+
 // generate sends a request to a model's engines.
 func (f *Forwarder) generate(ctx context.Context, j *job, s *sink) *radishspoke.Failure {
 	last := "no engine"
@@ -51,15 +61,23 @@
 		if p.engine == nil {
 			t, err := f.generator(j, p)
 			if err != nil {
-				f.free(p.handle)
+				relayer.Free(f.Targets, p.handle, f.Log)
 				return f.failed(j, "engine", last+": "+err.Error())
 			}
 			p.engine = &t
 		}
+		if fail := f.withdrawn(j); fail != nil {
+			relayer.Free(f.Targets, p.handle, f.Log)
+			p.end(0)
+			return fail
+		}
 		next, why := f.stream(ctx, j, s, p)
 		if next == final {
-			if why == "" {
+			switch {
+			case why == "":
 				return nil
+			case j.hopeless:
+				return f.failed(j, "queue", "the prompt can't be read before the deadline")
 			}
 			return f.failed(j, "engine", why)
 		}
@@ -69,7 +87,7 @@
 
 // generator chooses the engine that generates.
 func (f *Forwarder) generator(j *job, p prompt) (radishspoke.Instance, error) {
-	if p.handle == nil {
+	if p.reader == "" {
 		return f.Placer.Short(j.group.Name, j.tried)
 	}
 	return f.Placer.Generator(j.group.Name, p.zone, j.tried)
@@ -88,10 +106,13 @@
 		return prompt{}, f.failed(j, "engine", "no engine takes another answer now")
 	}
 	for {
-		t, expected, err := f.Placer.Reader(j.group.Name, j.in.Generating, f.Turns.Expect, j.tried)
+		t, expected, err := f.Placer.Reader(j.group.Name, j.in.Generating, f.expect, j.tried)
 		if err != nil {
 			return prompt{}, f.failed(j, "engine", err.Error())
 		}
+		if t.Role == radishspoke.PrefillRole && f.Relays.Pays(t.ID, len(j.body)) {
+			return prompt{relay: &t, expect: expected, reader: t.ID, zone: t.Zone}, nil
+		}
 		asked := f.Clock.Now()
 		done, err := f.Turns.Wait(ctx, t.ID, sequencer.Ticket{Rank: j.team.Rank, OnTime: j.onTime, Deadline: j.deadline, Rest: handOver})
 		j.turn += f.Clock.Now() - asked
@@ -120,57 +141,19 @@
 	j.visit(t)
 	delete(j.tried, t.ID) // reading is not running
 	f.Placer.Begin(t.ID)
-	each, cancel := context.WithTimeout(ctx, readFactor*expected+readSlack)
-	defer cancel()
-	r, err := f.send(each, j, t, platform.Outgoing{Read: true})
-	if err != nil {
+	r := j.request()
+	c := r.Call(platform.Outgoing{Instance: t.ID, Left: j.deadline - f.Clock.Now(), Read: true})
+	h, a, err := relayer.Read(ctx, f.Targets, t.Address, c, expected)
+	switch {
+	case err == nil:
+		f.Placer.End(t.ID, placer.Report{Waiting: a.Waiting, Slots: a.Slots})
+		return h, "", nil
+	case errors.Is(err, relayer.ErrNotRead):
+		f.Placer.End(t.ID, placer.Report{Failed: !a.NotRun, NotReady: a.NotRun, Waiting: a.Waiting, Slots: a.Slots})
+	default:
 		f.Placer.End(t.ID, report(ctx, nil, err))
-		j.tried[t.ID] = true
 		f.Targets.Forget(t.Address)
-		return nil, err.Error(), err
 	}
-	defer r.Close()
-	f.Placer.End(t.ID, report(ctx, r, nil))
-	if r.Status != http.StatusOK {
-		j.tried[t.ID] = true
-		return nil, fmt.Sprintf("engine %s answered a reading with status %d", t.ID, r.Status), errNotRead
-	}
-	data, err := readBody(http.MaxBytesReader(nil, r, mostHandle), 0)
-	if err != nil {
-		j.tried[t.ID] = true
-		return nil, err.Error(), err
-	}
-	h, err := platform.DecodeHandle(data, t.Address)
-	if err != nil {
-		j.tried[t.ID] = true
-		return nil, err.Error(), err
-	}
-	return &h, "", nil
-}
-
-var errNotRead = errors.New("prompt was not read")
-
-// freeTimeout bounds the call that frees a handle.
-const freeTimeout = time.Second
-
-// free gives back the KV cache of a prompt that nobody will take.
-func (f *Forwarder) free(h *radishspoke.Handle) {
-	if h == nil {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-		defer cancel()
-		a, err := f.Targets.Do(ctx, h.Address, &caller.Call{
-			Method: http.MethodDelete, Target: platform.HandlePath(*h), Host: h.Address, Header: http.Header{},
-		})
-		if err != nil {
-			f.Log.Debug("handle not freed", "engine", h.Address, "error", err)
-			return
-		}
-		if _, err := readBody(http.MaxBytesReader(nil, a, mostHandle), 0); err != nil {
-			f.Log.Debug("handle perhaps not freed", "engine", h.Address, "error", err)
-		}
-		a.Close()
-	}()
+	j.tried[t.ID] = true
+	return nil, err.Error(), err
 }
--- a/coordination/forwarder/send.go
+++ b/coordination/forwarder/send.go
@@ -10,6 +10,7 @@
 
 	"radishspoke"
 	"radishspoke/coordination/placer"
+	"radishspoke/coordination/relayer"
 	"radishspoke/platform"
 	"radishspoke/transport/caller"
 )
@@ -22,23 +23,23 @@
 
 // send sends a request to a target once. The error is one of package caller.
 func (f *Forwarder) send(ctx context.Context, j *job, t radishspoke.Instance, o platform.Outgoing) (*reply, error) {
-	o.Team, o.Instance, o.Left = j.team.Name, t.ID, j.deadline-f.Clock.Now()
-	if o.LastEvent == "" {
-		o.LastEvent = j.in.LastEvent
-	}
-	a, err := f.Targets.Do(ctx, t.Address, &caller.Call{
-		Method: j.method, Target: j.target, Host: j.host, Header: platform.Address(j.header, o), Body: j.body,
-		Mine: func(status int, h http.Header) bool {
-			a := platform.DecodeAnswer(status, h)
-			return a.ID == j.in.ID || a.ID == "" && a.NotRun
-		},
-	})
+	o.Instance, o.Left = t.ID, j.deadline-f.Clock.Now()
+	r := j.request()
+	a, err := f.Targets.Do(ctx, t.Address, r.Call(o))
 	if err != nil {
 		return nil, err
 	}
 	return &reply{Answer: a, Answering: platform.DecodeAnswer(a.Status, a.Header)}, nil
 }
 
+// request returns what is sent to targets.
+func (j *job) request() relayer.Request {
+	return relayer.Request{
+		ID: j.in.ID, Method: j.method, Target: j.target, Host: j.host, Header: j.header, Body: j.body,
+		Team: j.team.Name, LastEvent: j.in.LastEvent,
+	}
+}
+
 // report turns the outcome of a send into news of the target.
 func report(ctx context.Context, r *reply, err error) placer.Report {
 	if err != nil {
@@ -82,6 +83,9 @@
 		if err != nil {
 			return f.failed(j, "target", last+": "+err.Error())
 		}
+		if fail := f.withdrawn(j); fail != nil {
+			return fail
+		}
 		next, why := f.try(ctx, j, s, t)
 		if next == final {
 			if why == "" {
@@ -143,6 +147,7 @@
 // patience ends a try that shows no sign of life, if the request may be
 // repeated and tries, time and budget are left for another one.
 type patience struct {
+	wait   time.Duration // for a sign of life
 	cancel context.CancelFunc
 	timer  *time.Timer // nil if the try is not bounded
 	paid   atomic.Bool // the repeat that follows is paid for
@@ -151,8 +156,8 @@
 // patience returns the context of one try of a request.
 func (f *Forwarder) patience(ctx context.Context, j *job) (context.Context, *patience) {
 	ctx, cancel := context.WithCancel(ctx)
-	p := &patience{cancel: cancel}
 	wait := time.Duration(silence * float64(j.rule.Objective))
+	p := &patience{wait: wait, cancel: cancel}
 	if j.idempotent() && j.tries+1 < j.rule.Attempts && f.Clock.Now()+2*wait < j.deadline {
 		p.timer = time.AfterFunc(wait, func() {
 			if f.Repeats.Repeat(j.group.Name) {
--- a/coordination/forwarder/stream.go
+++ b/coordination/forwarder/stream.go
@@ -10,6 +10,8 @@
 	"github.com/pkg/errors"
 
 	"radishspoke/coordination/placer"
+	"radishspoke/coordination/relayer"
+	"radishspoke/coordination/sequencer"
 	"radishspoke/platform"
 	"radishspoke/transport/caller"
 )
@@ -17,40 +19,25 @@
 // stream has an engine generate and passes the events on. When it ends with
 // again, the request goes on at another engine, after the last event.
 func (f *Forwarder) stream(ctx context.Context, j *job, s *sink, from prompt) (verdict, string) {
-	t, source := *from.engine, from.handle
-	began := f.Clock.Now()
-	turn := func(took time.Duration) {
-		if from.done != nil {
-			from.done(took)
-		}
-	}
-	defer turn(0)
+	t := *from.engine
+	defer from.end(0)
 	j.visit(t)
 	f.Placer.Begin(t.ID)
 	each, p := f.patience(ctx, j)
 	defer p.end()
-	r, err := f.send(each, j, t, platform.Outgoing{Source: source, Urgent: from.done == nil && source == nil})
+	r, took, err := f.open(each, j, from, p)
 	if err != nil {
-		f.Placer.End(t.ID, from.report(ctx, nil, err, 0))
-		lost := !errors.Is(err, caller.ErrNotSent)
-		if lost {
-			j.ran()
-			f.Targets.Forget(t.Address)
-		} else {
-			f.free(source)
-		}
-		return f.judge(ctx, j, lost, p.paid.Load()), err.Error()
+		return f.unopened(ctx, j, from, p, err)
 	}
-	took := f.Clock.Now() - began
 	j.sendoff = took
-	turn(took)
+	from.end(took)
 	defer r.Close()
 	if r.NotRun {
 		f.Placer.End(t.ID, from.report(ctx, r, nil, took))
 		if from.reader != "" {
 			j.tried[from.reader] = true // its KV cache may be what failed
 		}
-		f.free(source)
+		relayer.Free(f.Targets, from.handle, f.Log)
 		return f.judge(ctx, j, false, p.paid.Load()), "engine does not take the request now"
 	}
 	news := from.report(ctx, r, nil, took)
@@ -79,6 +66,47 @@
 	return f.judge(ctx, j, true, p.paid.Load()), err.Error()
 }
 
+// open sends a request to the engine that generates, or takes it through both
+// engines, and returns what the former took to answer.
+func (f *Forwarder) open(ctx context.Context, j *job, from prompt, p *patience) (*reply, time.Duration, error) {
+	if from.relay != nil {
+		return f.relay(ctx, j, from, p)
+	}
+	began := f.Clock.Now()
+	r, err := f.send(ctx, j, *from.engine, platform.Outgoing{Source: from.handle, Urgent: from.done == nil && from.handle == nil})
+	return r, f.Clock.Now() - began, err
+}
+
+// unopened settles a send without an answer.
+func (f *Forwarder) unopened(ctx context.Context, j *job, from prompt, p *patience, err error) (verdict, string) {
+	t := *from.engine
+	switch {
+	case errors.Is(err, relayer.ErrAway):
+		f.Placer.End(t.ID, placer.Report{Unasked: true})
+		delete(j.tried, t.ID)
+		if ctx.Err() != nil {
+			return final, err.Error()
+		}
+		return again, err.Error() // the engines are called from here now
+	case errors.Is(err, sequencer.ErrHopeless):
+		f.Placer.End(t.ID, placer.Report{Unasked: true})
+		j.hopeless = true
+		return final, err.Error()
+	case errors.Is(err, relayer.ErrNotRead):
+		f.Placer.End(t.ID, placer.Report{Unasked: true})
+		delete(j.tried, t.ID)
+		return f.judge(ctx, j, false, p.paid.Load()), err.Error()
+	case errors.Is(err, caller.ErrNotSent):
+		f.Placer.End(t.ID, from.report(ctx, nil, err, 0))
+		relayer.Free(f.Targets, from.handle, f.Log)
+		return f.judge(ctx, j, false, p.paid.Load()), err.Error()
+	}
+	f.Placer.End(t.ID, from.report(ctx, nil, err, 0))
+	j.ran()
+	f.Targets.Forget(t.Address)
+	return f.judge(ctx, j, true, p.paid.Load()), err.Error()
+}
+
 // report turns the outcome of a send into news of the engines.
 func (p prompt) report(ctx context.Context, r *reply, err error, took time.Duration) placer.Report {
 	out := report(ctx, r, err)
--- /dev/null
+++ b/coordination/relayer/export_test.go
@@ -0,0 +1,7 @@
+package relayer
+
+// What tests of an order's bytes need.
+var (
+	Encode = (*Order).encode
+	Decode = decodeOrder
+)
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,6 +22,7 @@
 	"radishspoke/coordination/forwarder"
 	"radishspoke/coordination/placer"
 	"radishspoke/coordination/pooler"
+	"radishspoke/coordination/relayer"
 	"radishspoke/coordination/retrier"
 	"radishspoke/coordination/sequencer"
 	"radishspoke/platform"
@@ -44,6 +46,7 @@
 	placer    *placer.Placer
 	sequencer *sequencer.Sequencer
 	caller    *caller.Caller
+	sidecars  *caller.Caller
 	gossiper  *gossiper.Gossiper
 	pooler    *pooler.Pooler
 	biller    *biller.Biller
@@ -54,6 +57,7 @@
 	callers   *http.Server
 	ready     *http.Server
 	metrics   *http.Server
+	relays    *relayer.Client
 	datagrams net.PacketConn
 
 	listener net.Listener // of callers
@@ -69,6 +73,7 @@
 const (
 	gossipPort  = 0 // of entries
 	sidecarPort = 1 // of sidecars
+	relayPort   = 2 // for connections, of sidecars
 )
 
 // Times of an entry.
@@ -86,6 +91,14 @@
 
 	mostHeaders = 64 << 10 // bytes
 
+	// sidecarIdle is how long connections to sidecars are kept, which close
+	// theirs later.
+	sidecarIdle = time.Minute
+
+	// sidecarDial bounds the opening of a connection to a sidecar; without
+	// one the engine is called from here. Round trips take a few ms.
+	sidecarDial = 150 * time.Millisecond
+
 	billInterval  = 500 * time.Millisecond
 	sweepInterval = time.Second
 
@@ -114,7 +127,9 @@
 	e.placer = placer.New(placer.Settings{Zone: s.Zone}, clock, rand.New(rand.NewPCG(env.Seed, 1)))
 	e.sequencer = sequencer.New(sequencer.Settings{}, clock)
 	e.caller = caller.New(caller.Settings{}, env.Network, clock)
-	e.follower = follower.New(follower.Settings{}, e.client, clock, e.watch, env.Log, e.configure, e.placer.List)
+	e.sidecars = caller.New(caller.Settings{Idle: sidecarIdle, DialTimeout: sidecarDial}, env.Network, clock)
+	e.relays = relayer.NewClient(relayer.ClientSettings{Port: s.FirstPort + relayPort, Link: s.Link}, e.sidecars, clock, env.Log)
+	e.follower = follower.New(follower.Settings{}, e.client, clock, e.watch, env.Log, e.configure, e.list)
 	e.pooler = pooler.New(pooler.Settings{}, clock, e.peers)
 	e.repeats = &repeats{settings: s.Bounds, entries: func() int { return len(e.gossiper.Peers()) + 1 }, budgets: map[string]*retrier.Budget{}}
 	e.elector = elector.New(elector.Settings{Name: s.Name, Duration: s.Bounds.Lease + usageMargin, Margin: usageMargin}, e.table, clock, e.wanted, env.Log)
@@ -129,8 +144,8 @@
 	e.datagrams = datagrams
 	e.gossiper = gossiper.New(gossiper.Settings{Process: s.Name, Address: address}, e.table, datagrams, clock, env.Log, e.tell, e.hear)
 	f := forwarder.New(forwarder.Parts{
-		Tables: e.follower, Keys: e.keys, Limits: e.pooler, Repeats: e.repeats, Usage: e.biller, Placer: e.placer,
-		Turns: e.sequencer, Targets: e.caller, Stop: e, Recorder: e.recorder, Clock: clock, Log: env.Log,
+		Tables: e.follower, Keys: e.keys, Proofs: e, Limits: e.pooler, Repeats: e.repeats, Usage: e.biller, Placer: e.placer,
+		Turns: e.sequencer, Relays: e.relays, Targets: e.caller, Stop: e, Recorder: e.recorder, Clock: clock, Log: env.Log,
 	})
 	logger := slog.NewLogLogger(env.Log.Handler(), slog.LevelDebug)
 	e.callers = &http.Server{
@@ -172,6 +187,7 @@
 	e.run(func() { e.gossiper.RunDiscovery(ctx) })
 	e.run(func() { e.gossiper.RunSend(ctx, timers) })
 	e.run(e.gossiper.RunReceive)
+	e.run(func() { e.relays.Run(ctx, timers) })
 	e.run(func() { e.elector.Run(ctx, timers) })
 	e.run(func() { e.bill(ctx, timers) })
 	e.run(func() { e.sweep(ctx, timers) })
@@ -222,8 +238,16 @@
 // standing tells whether keys can be trusted: the configuration was the newest
 // within the time in which a withdrawn key must stop working.
 func (e *FleetEntry) standing() bool {
+	return !e.settings.Bounds.StrictRevoke || e.env.Clock.Now() < e.Until()
+}
+
+// Until implements forwarder.Proofs.
+func (e *FleetEntry) Until() time.Duration {
 	b := e.settings.Bounds
-	return !b.StrictRevoke || e.env.Clock.Now()-e.follower.Proof() < b.Revoke-keyMargin
+	if !b.StrictRevoke {
+		return math.MaxInt64
+	}
+	return e.follower.Proof() + b.Revoke - keyMargin
 }
 
 // configure takes a new configuration.
@@ -237,6 +261,12 @@
 	e.keys.Configure(keys)
 }
 
+// list takes a new list of targets.
+func (e *FleetEntry) list(l []radishspoke.Instance) {
+	e.placer.List(l)
+	e.relays.List(l)
+}
+
 // peers returns the entries that limits are shared with.
 func (e *FleetEntry) peers() []pooler.Peer {
 	list := e.gossiper.Peers()
@@ -299,6 +329,7 @@
 			return
 		case <-ticks:
 			e.caller.Sweep()
+			e.sidecars.Sweep()
 		}
 	}
 }
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +17,7 @@
 
 	"radishspoke"
 	"radishspoke/coordination/planner"
+	"radishspoke/coordination/relayer"
 	"radishspoke/platform"
 	"radishspoke/protocol/wire"
 	"radishspoke/state/follower"
@@ -35,6 +37,8 @@
 	heard    atomic.Int64 // when the last datagram came, on the clock, in ns
 	conn     net.PacketConn
 	metrics  *http.Server
+	relayer  *relayer.Relayer
+	relays   *http.Server
 	orders   atomic.Int64 // accepted by the engine
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
@@ -76,6 +80,10 @@
 	// on them; entries send one each second.
 	silentTime = 3500 * time.Millisecond
 
+	// partTime is how long a stopping sidecar refuses orders before it closes
+	// entries' connections; they call the engine themselves from then on.
+	partTime = 300 * time.Millisecond
+
 	mostReport   = 1 << 20 // bytes
 	mostDatagram = 4 << 10 // bytes
 )
@@ -92,8 +100,14 @@
 		return nil, fmt.Errorf("listen for datagrams: %w", err)
 	}
 	d.conn = conn
+	d.relayer = relayer.New(relayer.Settings{Engine: s.Engine}, d.caller, env.Clock, env.Log)
+	d.relays = &http.Server{
+		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort+relayPort)), Handler: d.relayer, ReadHeaderTimeout: headerTime,
+		IdleTimeout: callerIdle, ErrorLog: slog.NewLogLogger(env.Log.Handler(), slog.LevelDebug),
+	}
 	r := recorder.New()
 	r.Gauge("targets_listed", func() float64 { return float64(len(d.follower.Instances())) })
+	r.Gauge("requests_running", func() float64 { return float64(d.relayer.Running()) })
 	r.Gauge("orders_accepted", func() float64 { return float64(d.orders.Load()) })
 	d.metrics = newMetricsServer(s.IP, metrics, r)
 	return d, nil
@@ -104,6 +118,11 @@
 	if err := serveMetrics(d.metrics, d.env.Network, d.tasks.Go); err != nil {
 		return err
 	}
+	l, err := d.env.Network.Listen(d.relays.Addr)
+	if err != nil {
+		return fmt.Errorf("listen for entries: %w", err)
+	}
+	d.tasks.Go(func() { _ = d.relays.Serve(l) }) // ends when the server is closed
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
 	d.tasks.Go(func() { d.follower.RunInstances(ctx) })
@@ -115,6 +134,14 @@
 
 // Stop ends the sidecar.
 func (d *FleetSidecar) Stop() {
+	d.relayer.Stop()
+	time.Sleep(partTime)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Bounds.Grace-partTime-stopMargin)
+	if err := d.relays.Shutdown(ctx); err != nil {
+		d.env.Log.Warn("requests cut at the end of the grace", "requests", d.relayer.Running(), "error", err)
+		_ = d.relays.Close()
+	}
+	cancel()
 	d.stop()
 	_ = d.conn.Close()
 	_ = d.metrics.Close()
@@ -160,6 +187,7 @@
 // plan brings the engine to its role until ctx ends.
 func (d *FleetSidecar) plan(ctx context.Context) {
 	for ticker.Sleep(ctx, sidecarInterval/2) {
+		d.caller.Sweep()
 		if err := d.step(ctx); err != nil {
 			d.env.Log.Warn("role not changed", "engine", d.settings.Engine, "error", err)
 		}
--- a/transport/caller/caller.go
+++ b/transport/caller/caller.go
@@ -55,8 +55,9 @@
 	// answer is read; it fits into the buffers of a connection.
 	directBody = 8 << 10
 
-	readBuffer = 4 << 10 // bytes
-	mostStray  = 2       // answers to earlier requests that are passed over
+	readBuffer  = 4 << 10 // bytes
+	mostStray   = 2       // answers to earlier requests that are passed over
+	mostInterim = 4       // interim answers to one request
 )
 
 func (s *Settings) fill() {
@@ -79,6 +80,10 @@
 	Header http.Header
 	Body   []byte
 
+	// Interim is called with the status and headers of each interim answer;
+	// nil for nobody.
+	Interim func(status int, h http.Header)
+
 	// Mine tells whether an answer belongs to this call; nil for any.
 	Mine func(status int, h http.Header) bool
 }
@@ -259,12 +264,16 @@
 			written <- err
 		}()
 	}
-	for range mostStray + 1 {
+	for strays, interims := 0, 0; strays <= mostStray && interims <= mostInterim; {
 		r, err := http.ReadResponse(conn.reader, &http.Request{Method: call.Method})
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrLost, err)
 		}
 		if r.StatusCode >= http.StatusContinue && r.StatusCode < http.StatusOK {
+			if call.Interim != nil {
+				call.Interim(r.StatusCode, r.Header)
+			}
+			interims++
 			continue
 		}
 		if call.Mine == nil || call.Mine(r.StatusCode, r.Header) {
@@ -274,8 +283,9 @@
 		if err := discard(r); err != nil {
 			return nil, fmt.Errorf("%w: skip an answer to another request: %w", ErrLost, err)
 		}
+		strays++
 	}
-	return nil, fmt.Errorf("%w: only answers to other requests", ErrLost)
+	return nil, fmt.Errorf("%w: only answers to other requests, or interim ones", ErrLost)
 }
 
 const mostSkipped = 1 << 20 // bytes of an answer to another request
