Save usage each second, and take one's own lease again at once

The window that ended at 11 s was frozen only at 14 s, so its counts died with the entries: it was reported empty, and at 23 s, as the restarted holder waited for its own lease until the store was down.

Ruled out: freezing earlier, as full links lose datagrams in the time to settle.

Change: the holder writes the counts of windows that are not frozen each second, at most 5 KB/s, into the row that stopping entries use; a row that an earlier lifetime left is kept. A lease of an earlier lifetime of the same name is free at once where a name has one process at a time, as on the platform.

--- a/coordination/biller/biller.go
+++ b/coordination/biller/biller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"sort"
 	"sync"
 	"time"
 
@@ -54,6 +55,12 @@
 	// if zero: time for some rounds of datagrams, of which full links lose some.
 	Settle time.Duration
 
+	// Save is the least time between two times that the holder of the duty
+	// writes down the counts of windows that are not frozen, so that they are
+	// known if every process dies; 1 s if zero. Long rows are written less
+	// often.
+	Save time.Duration
+
 	// Kept is the number of windows that are kept; 24 if zero.
 	Kept int64
 }
@@ -61,13 +68,25 @@
 const (
 	defaultSettle = 3 * time.Second
 	defaultKept   = 24
+	defaultSave   = time.Second
 	recent        = 4 // windows that are told to the others
+
+	// saveRate is how many bytes a second the saving of counts may cost; a
+	// process may spend 10 KB/s on control.
+	saveRate = 5 << 10
+
+	// mostSaved is the longest row that is saved, in bytes; the platform
+	// takes 64 KiB.
+	mostSaved = 60 << 10
 )
 
 func (s *Settings) fill() {
 	if s.Settle == 0 {
 		s.Settle = defaultSettle
 	}
+	if s.Save == 0 {
+		s.Save = defaultSave
+	}
 	if s.Kept == 0 {
 		s.Kept = defaultKept
 	}
@@ -102,6 +121,13 @@
 	version  int64   // of its row
 	epoch    int64   // under which it was read
 	reported bool    // it has been taken
+
+	// writing guards what follows: a process that stops writes its row, too.
+	writing sync.Mutex
+	saved   string    // what was written down last
+	saving  time.Time // when the next writing is due
+	row     int64     // version of the row that it went to; 0 if there was none
+	rowRead bool      // row is known
 }
 
 // New returns a Biller. Identity tells which lifetime of which process it counts
@@ -194,30 +220,74 @@
 	if !ok {
 		return nil
 	}
-	process, incarnation := b.identity()
-	data, err := json.Marshal(b.known(b.window(at)-recent, counter{process, incarnation}))
-	if err != nil {
-		return fmt.Errorf("encode usage known: %w", err)
-	}
+	b.writing.Lock()
+	defer b.writing.Unlock()
+	b.rowRead = false // the last chance is not left to a version that may be old
+	return b.write(ctx, b.window(at)-recent)
+}
+
+// write writes this process's row with all counts since a window. What an earlier
+// lifetime left in the row is kept.
+func (b *Biller) write(ctx context.Context, since int64) error {
+	process, _ := b.identity()
 	key := partPrefix + process
-	version := int64(0)
-	r, err := b.table.Read(ctx, key)
-	switch {
-	case err == nil:
-		version = r.Version
-	case !errors.Is(err, radishspoke.ErrNotFound):
-		return fmt.Errorf("read usage left before: %w", err)
+	if !b.rowRead {
+		r, err := b.table.Read(ctx, key)
+		switch {
+		case err == nil:
+			b.row = r.Version
+			b.take(r)
+		case errors.Is(err, radishspoke.ErrNotFound):
+			b.row = 0
+		default:
+			return fmt.Errorf("read usage left before: %w", err)
+		}
+	}
+	data, err := b.known(since)
+	if err != nil {
+		return err
 	}
-	err = b.table.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: key, Value: data, Version: version})
+	err = b.table.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: key, Value: data, Version: b.row})
+	b.rowRead = err == nil
 	if err != nil {
 		return fmt.Errorf("leave usage: %w", err)
 	}
+	b.row++
 	return nil
 }
 
-// known returns all counts since a window. What this process counted itself
-// goes under its own name.
-func (b *Biller) known(since int64, self counter) part {
+// save writes down the counts of windows that are not frozen, if that is due and
+// they have changed. They are all that is left of them if every process dies.
+func (b *Biller) save(ctx context.Context, at time.Time) error {
+	b.writing.Lock()
+	defer b.writing.Unlock()
+	if at.Before(b.saving) {
+		return nil
+	}
+	since := b.window(at) - recent
+	if b.frozen != nil {
+		since = max(since, b.frozen.Window+1)
+	}
+	data, err := b.known(since)
+	if err != nil || string(data) == b.saved {
+		return err
+	}
+	b.saving = at.Add(max(b.settings.Save, time.Duration(float64(len(data))/saveRate*float64(time.Second))))
+	if len(data) > mostSaved {
+		b.log.Warn("usage not saved, its row is too long", "bytes", len(data), "most", mostSaved)
+		return nil
+	}
+	if err := b.write(ctx, since); err != nil {
+		return err
+	}
+	b.saved = string(data)
+	return nil
+}
+
+// known returns all counts since a window as a row. What this process counted
+// itself goes under its own name.
+func (b *Biller) known(since int64) ([]byte, error) {
+	process, incarnation := b.identity()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out part
@@ -227,7 +297,7 @@
 		}
 		for by, c := range m {
 			if by == (counter{}) {
-				by = self
+				by = counter{process, incarnation}
 			}
 			copied := Counts{}
 			for t, n := range c {
@@ -236,7 +306,21 @@
 			out.Counts = append(out.Counts, counted{w, by.process, by.incarnation, copied})
 		}
 	}
-	return out
+	sort.Slice(out.Counts, func(i, j int) bool {
+		p, q := out.Counts[i], out.Counts[j]
+		if p.Window != q.Window {
+			return p.Window < q.Window
+		}
+		if p.Process != q.Process {
+			return p.Process < q.Process
+		}
+		return p.Incarnation < q.Incarnation
+	})
+	data, err := json.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("encode usage known: %w", err)
+	}
+	return data, nil
 }
 
 // collect takes what stopped processes have left.
@@ -245,24 +329,29 @@
 	if err != nil {
 		return fmt.Errorf("read usage left behind: %w", err)
 	}
+	for _, r := range rows {
+		b.take(r)
+	}
+	return nil
+}
+
+// take takes the counts of a row.
+func (b *Biller) take(r radishspoke.Row) {
+	var p part
+	if err := json.Unmarshal(r.Value, &p); err != nil {
+		b.log.Error("usage left behind is unreadable", "row", r.Key, "error", err)
+		return
+	}
 	process, incarnation := b.identity()
 	at, _ := b.now()
 	oldest := b.window(at) - b.settings.Kept
-	for _, r := range rows {
-		var p part
-		if err := json.Unmarshal(r.Value, &p); err != nil {
-			b.log.Error("usage left behind is unreadable", "row", r.Key, "error", err)
-			continue
-		}
-		for _, c := range p.Counts {
-			// Its own counts come back from those who had heard of them.
-			own := c.Process == process && c.Incarnation == incarnation
-			if c.Window >= oldest && !own {
-				b.Heard(c.Process, c.Incarnation, c.Window, c.Counts)
-			}
+	for _, c := range p.Counts {
+		// Its own counts come back from those who had heard of them.
+		own := c.Process == process && c.Incarnation == incarnation
+		if c.Window >= oldest && !own {
+			b.Heard(c.Process, c.Incarnation, c.Window, c.Counts)
 		}
 	}
-	return nil
 }
 
 // Step reports what is due, if this process holds the duty.
@@ -297,7 +386,7 @@
 			next = max(b.frozen.Window+1, due-b.settings.Kept)
 		}
 		if next > due {
-			return nil
+			return b.save(ctx, at)
 		}
 		if err := b.collect(ctx); err != nil {
 			return err
--- a/coordination/biller/biller_test.go
+++ b/coordination/biller/biller_test.go
@@ -175,3 +175,46 @@
 	c.Assert(a.Step(ctx), qt.IsNil)
 	c.Assert(o.intake.got, qt.DeepEquals, []string{"1 0 map[t:1]"})
 }
+
+// TestAllDie kills every process in the middle of a window, after one that is
+// not frozen yet: the next holder knows of both what was saved last, and what
+// began since its start.
+func TestAllDie(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	o := newOffice(c)
+	w := start.Unix() / 5
+	a := o.biller("a")
+	c.Assert(a.Step(ctx), qt.IsNil)
+	for range 10 {
+		a.Begun("t")
+		c.Assert(a.Step(ctx), qt.IsNil)
+	}
+	a.Heard("b", 7, w, biller.Counts{"t": 30, "u": 4})
+	o.now = start.Add(5500 * time.Millisecond)
+	a.Begun("t")
+	a.Heard("b", 7, w+1, biller.Counts{"u": 2})
+	c.Assert(a.Step(ctx), qt.IsNil)
+	calls := o.store.Calls()
+	c.Assert(a.Step(ctx), qt.IsNil) // not due yet
+	o.now = o.now.Add(2 * time.Second)
+	c.Assert(a.Step(ctx), qt.IsNil) // freezes the first window
+	c.Assert(a.Step(ctx), qt.IsNil) // nothing new
+	c.Assert(o.store.Calls()-calls <= 3, qt.IsTrue, qt.Commentf("%d", o.store.Calls()-calls))
+	o.intake.got = nil
+
+	// All die. The first window is reported again as it was, the second one
+	// has what both counted.
+	o.epoch = 2
+	next := biller.New(biller.Settings{Window: 5 * time.Second, Settle: 1500 * time.Millisecond},
+		func() (string, uint64) { return "a", incarnation + 1 }, o.table(), o.intake,
+		func() (time.Time, bool) { return o.now, true },
+		func() (int64, bool) { return o.epoch, true }, slog.New(slog.DiscardHandler))
+	o.now = start.Add(9 * time.Second)
+	c.Assert(next.Step(ctx), qt.IsNil)
+	next.Begun("u")
+	o.now = start.Add(12 * time.Second)
+	c.Assert(next.Step(ctx), qt.IsNil)
+	c.Assert(next.Step(ctx), qt.IsNil)
+	c.Assert(o.intake.got, qt.DeepEquals, []string{"2 0 map[t:40 u:4]", "2 1 map[t:1 u:3]"})
+}
--- a/coordination/elector/elector.go
+++ b/coordination/elector/elector.go
@@ -30,6 +30,10 @@
 	// covers clocks that run at different speeds and sends on their way.
 	// 1 s if zero.
 	Margin time.Duration
+
+	// Exclusive says that Name has one process at a time, so that a lease of
+	// an earlier lifetime is free at once.
+	Exclusive bool
 }
 
 const (
--- a/coordination/elector/elector_test.go
+++ b/coordination/elector/elector_test.go
@@ -185,6 +185,28 @@
 	c.Assert(e, qt.Equals, int64(2))
 }
 
+// TestEarlierLifetime restarts the holder of a lease: its name has one process
+// at a time, so the lease is taken again at once, under the next epoch. A name
+// that is not exclusive waits.
+func TestEarlierLifetime(t *testing.T) {
+	c := qt.New(t)
+	s := &store{now: time.Hour, rows: map[string]radishspoke.Row{}}
+	wants := func() map[string]int { return map[string]int{"x": 0} }
+	start := func(name string, exclusive bool) *elector.Elector {
+		e := elector.New(elector.Settings{Name: name, Exclusive: exclusive}, s, s, wants, slog.New(slog.DiscardHandler))
+		e.Step(context.Background())
+		return e
+	}
+	epoch, ok := start("a", true).Holds("x")
+	c.Assert(ok && epoch == 1, qt.IsTrue)
+	_, ok = start("a", false).Holds("x")
+	c.Assert(ok, qt.IsFalse)
+	_, ok = start("b", true).Holds("x")
+	c.Assert(ok, qt.IsFalse)
+	epoch, ok = start("a", true).Holds("x")
+	c.Assert(ok && epoch == 2, qt.IsTrue)
+}
+
 // tableOf adds single reads to a store.
 type tableOf struct{ *store }
 
--- a/coordination/elector/take.go
+++ b/coordination/elector/take.go
@@ -103,7 +103,8 @@
 			e.seen[n] = s
 		}
 		wait := time.Duration(rank) * e.settings.Duration
-		if !s.lease.Released {
+		earlier := e.settings.Exclusive && s.lease.Holder == e.settings.Name
+		if !s.lease.Released && !earlier {
 			wait += e.settings.Duration + e.settings.Margin
 		}
 		if now-s.since >= wait {
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -132,7 +132,7 @@
 	e.follower = follower.New(follower.Settings{}, e.client, clock, e.watch, env.Log, e.configure, e.list)
 	e.pooler = pooler.New(pooler.Settings{}, clock, e.peers)
 	e.repeats = &repeats{settings: s.Bounds, entries: func() int { return len(e.gossiper.Peers()) + 1 }, budgets: map[string]*retrier.Budget{}}
-	e.elector = elector.New(elector.Settings{Name: s.Name, Duration: s.Bounds.Lease + usageMargin, Margin: usageMargin}, e.table, clock, e.wanted, env.Log)
+	e.elector = elector.New(elector.Settings{Name: s.Name, Exclusive: true, Duration: s.Bounds.Lease + usageMargin, Margin: usageMargin}, e.table, clock, e.wanted, env.Log)
 	e.biller = biller.New(biller.Settings{Window: s.Bounds.UsageWindow},
 		func() (string, uint64) { return s.Name, e.gossiper.Incarnation() }, e.table,
 		intake{client: e.client, holder: s.Name}, e.time.Now, func() (int64, bool) { return e.elector.Holds(biller.Duty) }, env.Log)
