--- a/cmd/radishspoked/fleet.go
+++ b/cmd/radishspoked/fleet.go
@@ -55,6 +55,8 @@
 }
 
 func runFleetEntry(ctx context.Context, path string, metrics int) error {
+	changed, ignore := hangUps()
+	defer ignore()
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -68,12 +70,14 @@
 	if err := e.Start(); err != nil {
 		return err
 	}
-	await(ctx, path)
+	await(ctx, path, changed)
 	e.Stop()
 	return nil
 }
 
 func runFleetSidecar(ctx context.Context, path string, metrics int) error {
+	changed, ignore := hangUps()
+	defer ignore()
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -87,18 +91,23 @@
 	if err := d.Start(); err != nil {
 		return err
 	}
-	await(ctx, path)
+	await(ctx, path, changed)
 	d.Stop()
 	return nil
 }
 
+// hangUps returns a channel for SIGHUP, which would end the process otherwise. It
+// is called before anything else, as the signal may come during the start.
+func hangUps() (changed <-chan os.Signal, ignore func()) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c, func() { signal.Stop(c) }
+}
+
 // await reads the settings again whenever the platform says that they have
 // changed, until ctx ends. What is in force stays: addresses can't change while
 // a process serves, and a restart takes the new file.
-func await(ctx context.Context, path string) {
-	changed := make(chan os.Signal, 1)
-	signal.Notify(changed, syscall.SIGHUP)
-	defer signal.Stop(changed)
+func await(ctx context.Context, path string, changed <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/coordination/biller/biller.go
+++ b/coordination/biller/biller.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"log/slog"
 	"sort"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,17 +25,14 @@
 	partPrefix = "usage/part/" // of rows with what stopped processes knew
 )
 
-// part is the content of a row that a process leaves behind.
+// part is the content of a row that a process leaves behind. Rows of many
+// processes and teams are written often, so nothing in them is said twice.
 type part struct {
-	Counts []counted `json:"counts"`
-}
+	Teams []string `json:"teams"`
 
-// counted is what one lifetime of a process counted in a window.
-type counted struct {
-	Window      int64  `json:"window"`
-	Process     string `json:"process"`
-	Incarnation uint64 `json:"incarnation"`
-	Counts      Counts `json:"counts"`
+	// Windows have the counts of each lifetime, by team, in the order of
+	// Teams. A lifetime is spelled PROCESS/INCARNATION.
+	Windows map[int64]map[string][]int64 `json:"windows"`
 }
 
 // frozen is the content of the row with the newest frozen window.
@@ -76,8 +75,8 @@
 	saveRate = 5 << 10
 
 	// mostSaved is the longest row that is saved, in bytes; the platform
-	// takes 64 KiB.
-	mostSaved = 60 << 10
+	// takes 64 KiB, with the value in base64.
+	mostSaved = 44 << 10
 )
 
 func (s *Settings) fill() {
@@ -99,6 +98,22 @@
 	incarnation uint64
 }
 
+// String spells a lifetime as it stands in rows.
+func (c counter) String() string { return c.process + "/" + strconv.FormatUint(c.incarnation, 10) }
+
+// parseCounter reads what String spells.
+func parseCounter(text string) (counter, error) {
+	i := strings.LastIndexByte(text, '/')
+	if i <= 0 {
+		return counter{}, fmt.Errorf("lifetime %q has no process", text)
+	}
+	n, err := strconv.ParseUint(text[i+1:], 10, 64)
+	if err != nil {
+		return counter{}, fmt.Errorf("lifetime %q: %w", text, err)
+	}
+	return counter{text[:i], n}, nil
+}
+
 // Counts are the requests that began in one window, by team.
 type Counts map[string]int64
 
@@ -290,32 +305,37 @@
 	process, incarnation := b.identity()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out part
+	names := map[string]bool{}
+	for w, m := range b.windows {
+		for _, c := range m {
+			for t := range c {
+				names[t] = names[t] || w >= since
+			}
+		}
+	}
+	out := part{Windows: map[int64]map[string][]int64{}}
+	for t, used := range names {
+		if used {
+			out.Teams = append(out.Teams, t)
+		}
+	}
+	sort.Strings(out.Teams)
 	for w, m := range b.windows {
 		if w < since {
 			continue
 		}
+		out.Windows[w] = map[string][]int64{}
 		for by, c := range m {
 			if by == (counter{}) {
 				by = counter{process, incarnation}
 			}
-			copied := Counts{}
-			for t, n := range c {
-				copied[t] = n
+			counts := make([]int64, len(out.Teams))
+			for i, t := range out.Teams {
+				counts[i] = c[t]
 			}
-			out.Counts = append(out.Counts, counted{w, by.process, by.incarnation, copied})
+			out.Windows[w][by.String()] = counts
 		}
 	}
-	sort.Slice(out.Counts, func(i, j int) bool {
-		p, q := out.Counts[i], out.Counts[j]
-		if p.Window != q.Window {
-			return p.Window < q.Window
-		}
-		if p.Process != q.Process {
-			return p.Process < q.Process
-		}
-		return p.Incarnation < q.Incarnation
-	})
 	data, err := json.Marshal(out)
 	if err != nil {
 		return nil, fmt.Errorf("encode usage known: %w", err)
@@ -345,11 +365,24 @@
 	process, incarnation := b.identity()
 	at, _ := b.now()
 	oldest := b.window(at) - b.settings.Kept
-	for _, c := range p.Counts {
-		// Its own counts come back from those who had heard of them.
-		own := c.Process == process && c.Incarnation == incarnation
-		if c.Window >= oldest && !own {
-			b.Heard(c.Process, c.Incarnation, c.Window, c.Counts)
+	for w, m := range p.Windows {
+		for lifetime, numbers := range m {
+			by, err := parseCounter(lifetime)
+			if err != nil || len(numbers) != len(p.Teams) {
+				b.log.Error("usage left behind is unreadable", "row", r.Key, "lifetime", lifetime, "counts", len(numbers), "teams", len(p.Teams), "error", err)
+				continue
+			}
+			// Its own counts come back from those who had heard of them.
+			if w < oldest || by == (counter{process, incarnation}) {
+				continue
+			}
+			counts := Counts{}
+			for i, n := range numbers {
+				if n > 0 {
+					counts[p.Teams[i]] = n
+				}
+			}
+			b.Heard(by.process, by.incarnation, w, counts)
 		}
 	}
 }
--- a/coordination/biller/biller_test.go
+++ b/coordination/biller/biller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/http/httptest"
@@ -218,3 +219,64 @@
 	c.Assert(next.Step(ctx), qt.IsNil)
 	c.Assert(o.intake.got, qt.DeepEquals, []string{"2 0 map[t:40 u:4]", "2 1 map[t:1 u:3]"})
 }
+
+// TestLongRow saves the counts of 29 entries and 16 teams within a second's share
+// of bytes, and of more entries than a row holds not at all.
+func TestLongRow(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	o := newOffice(c)
+	w := start.Unix() / 5
+	a := o.biller("a")
+	hear := func(entries, more int) {
+		for i := range entries {
+			counts := biller.Counts{}
+			for n := range 16 {
+				counts[fmt.Sprint("team", 1000+n)] = int64(100 + more)
+			}
+			a.Heard(fmt.Sprint("front-lakehead-a-", i), 3, w, counts)
+		}
+	}
+	saved := func() int {
+		r, err := o.table().Read(ctx, "usage/part/a")
+		if errors.Is(err, radishspoke.ErrNotFound) {
+			return 0
+		}
+		c.Assert(err, qt.IsNil)
+		return len(r.Value)
+	}
+	hear(29, 0)
+	c.Assert(a.Step(ctx), qt.IsNil)
+	first := saved()
+	c.Assert(first > 0 && first <= 5<<10, qt.IsTrue, qt.Commentf("%d bytes", first))
+	hear(29, 1)
+	o.now = o.now.Add(time.Second)
+	calls := o.store.Calls()
+	c.Assert(a.Step(ctx), qt.IsNil)
+	c.Assert(o.store.Calls(), qt.Equals, calls+1)
+	hear(1000, 2)
+	o.now = o.now.Add(time.Second)
+	c.Assert(a.Step(ctx), qt.IsNil)
+	c.Assert(saved() < 2*first, qt.IsTrue)
+}
+
+// FuzzPart reads rows of counts that may hold anything: it takes what it can and
+// goes on.
+func FuzzPart(f *testing.F) {
+	f.Add([]byte(`{"teams":["t"],"windows":{"340000000":{"b/7":[3]}}}`))
+	f.Add([]byte(`{"teams":["t","u"],"windows":{"340000000":{"b":[3],"/":[1,2],"c/x":[1,2]}}}`))
+	f.Add([]byte(`[`))
+	f.Fuzz(func(t *testing.T, row []byte) {
+		c := qt.New(t)
+		o := newOffice(c)
+		envelope, err := json.Marshal(map[string]any{"version": 1, "write": "x", "value": row})
+		c.Assert(err, qt.IsNil)
+		o.store.Put("radishspoke", "usage/part/b", envelope)
+		a := o.biller("a")
+		c.Assert(a.Step(context.Background()), qt.IsNil)
+		a.Begun("t")
+		o.now = start.Add(7 * time.Second)
+		_ = a.Step(context.Background()) // the store may refuse the row
+		c.Assert(len(o.intake.got) <= 1, qt.IsTrue)
+	})
+}
--- a/coordination/relayer/request.go
+++ b/coordination/relayer/request.go
@@ -76,12 +76,20 @@
 	return data, nil
 }
 
+// mostTime bounds the times of an order either way; deadlines are far shorter.
+const mostTime = time.Hour
+
 // decodeOrder reads an order's bytes.
 func decodeOrder(data []byte) (*Order, error) {
 	m := &wire.Relay{}
 	if err := proto.Unmarshal(data, m); err != nil {
 		return nil, fmt.Errorf("decode order: %w", err)
 	}
+	for _, n := range []int64{m.GetOnTimeUs(), m.GetDeadlineUs(), m.GetLatestUs(), m.GetReadingUs()} {
+		if most := mostTime.Microseconds(); n < -most || n > most {
+			return nil, fmt.Errorf("decode order: time of %d µs is not within %v", n, mostTime)
+		}
+	}
 	o := &Order{
 		Request: Request{
 			ID: m.GetRequestId(), Method: m.GetMethod(), Target: m.GetPath(), Host: m.GetHost(), Body: m.GetBody(),
--- a/internal/fake/target.go
+++ b/internal/fake/target.go
@@ -41,6 +41,9 @@
 
 	// Unframed leaves the length out: the body ends with the connection.
 	Unframed bool
+
+	// Chunked sends the body in two chunks instead of stating its length.
+	Chunked bool
 }
 
 // Headers that tests of other packages need.
@@ -49,6 +52,10 @@
 	HeaderKey      = "Radishspoke-Key"             // a caller's key
 	HeaderStamp    = "Radishspoke-Server-Stamp"    // on a target's own answers
 	HeaderInstance = "Radishspoke-Expect-Instance" // the lifetime that must answer
+	HeaderTeam     = "Radishspoke-Tenant"          // of a request, set by the system
+	HeaderStage    = "Radishspoke-Serving-Stage"   // of a prompt that is only read
+	HeaderSource   = "Radishspoke-Kv-Source"       // of a KV cache to be fetched
+	HeaderNotRun   = "Radishspoke-Not-Executed"    // on refusals
 )
 
 // NewTarget returns a target that answers with what answer returns.
@@ -115,7 +122,9 @@
 	if h.Get(HeaderID) == "" {
 		h.Set(HeaderID, r.Header.Get(HeaderID))
 	}
-	if !a.Unframed {
+	if a.Chunked {
+		h.Set("Transfer-Encoding", "chunked")
+	} else if !a.Unframed {
 		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	}
 	w := bufio.NewWriter(c)
@@ -126,6 +135,23 @@
 	if a.Cut > 0 {
 		body = body[:a.Cut]
 	}
+	if a.Chunked {
+		body = chunks(body, a.Cut == 0)
+	}
 	_, _ = w.WriteString("\r\n" + body + a.After)
 	return w.Flush() == nil && a.Cut == 0 && !a.Unframed
 }
+
+// chunks frames a body in two chunks, and the end if it is whole.
+func chunks(body string, whole bool) string {
+	out := ""
+	for _, b := range []string{body[:len(body)/2], body[len(body)/2:]} {
+		if b != "" {
+			out += fmt.Sprintf("%x\r\n%s\r\n", len(b), b)
+		}
+	}
+	if whole {
+		out += "0\r\n\r\n"
+	}
+	return out
+}
