Call the engines directly when a sidecar closes before it took an order

Cause: a sidecar that stops closes its idle connections. An order that is sent at that moment ended as "may have run" (502 for a request that may not be repeated), though a sidecar says that it took an order before it does anything. Ruled out: treating resets alike; with a lost packet they can overtake that word. Change: a connection that ends in order before that word means that nothing ran. TestRelayClosed failed before (502 instead of 200).

--- a/coordination/relayer/client.go
+++ b/coordination/relayer/client.go
@@ -240,16 +240,23 @@
 	if err != nil {
 		return nil, Outcome{}, fmt.Errorf("%w: %w", ErrAway, err)
 	}
+	answered := false // in part, at least
 	a, err := k.targets.Do(ctx, address, &caller.Call{
 		Method: http.MethodPost, Target: Path, Host: address, Header: http.Header{}, Body: data,
-		Interim: func(status int, h http.Header) { k.interim(engine, status, h, progress) },
+		Interim: func(status int, h http.Header) {
+			answered = true
+			k.interim(engine, status, h, progress)
+		},
 		Mine: func(status int, h http.Header) bool {
 			return h.Get(headerOutcome) != outcomeAnswer || o.mine(status, h)
 		},
 	})
 	if err != nil {
 		k.Lost(engine, err.Error())
-		if errors.Is(err, caller.ErrNotSent) {
+		// A Relayer tells that it has taken an order before it does anything,
+		// so one that closed the connection in order has not.
+		closed := !answered && errors.Is(err, io.ErrUnexpectedEOF)
+		if closed || errors.Is(err, caller.ErrNotSent) {
 			return nil, Outcome{}, fmt.Errorf("%w: %w", ErrAway, err)
 		}
 		return nil, Outcome{}, err
