--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -105,7 +105,7 @@
 	defer r.running.Add(-1)
 	if r.stopping.Load() {
 		w.Header().Set("Connection", "close")
-		r.fail(w, outcomeStopping, "sidecar stops")
+		r.fail(w, "", outcomeStopping, "sidecar stops")
 		return
 	}
 	if q.Method == http.MethodGet {
@@ -134,7 +134,7 @@
 	}
 	if r.clock.Now()-arrived >= o.Latest {
 		Free(r.targets, h, r.log)
-		r.fail(w, outcomeHopeless, "too late to start")
+		r.fail(w, o.ID, outcomeHopeless, "too late to start")
 		return
 	}
 	w.WriteHeader(statusRead)
@@ -148,7 +148,7 @@
 		Rank: o.Rank, OnTime: arrived + o.OnTime, Deadline: arrived + o.Deadline, Rest: handOver,
 	})
 	if err != nil {
-		r.fail(w, outcomeHopeless, err.Error())
+		r.fail(w, o.ID, outcomeHopeless, err.Error())
 		return nil, false
 	}
 	began := r.clock.Now()
@@ -169,7 +169,7 @@
 	if errors.Is(err, ErrNotRead) {
 		outcome = outcomeUnread
 	}
-	r.fail(w, outcome, err.Error())
+	r.fail(w, o.ID, outcome, err.Error())
 	return nil, false
 }
 
@@ -189,7 +189,7 @@
 			Free(r.targets, h, r.log)
 			outcome = outcomeUnsent
 		}
-		r.fail(w, outcome, err.Error())
+		r.fail(w, o.ID, outcome, err.Error())
 		return
 	}
 	defer a.Close()
@@ -234,13 +234,14 @@
 	}
 }
 
-// fail answers an order that came to nothing.
-func (r *Relayer) fail(w http.ResponseWriter, outcome, reason string) {
+// fail answers an order that came to nothing. The id of its request is empty if
+// it was not read.
+func (r *Relayer) fail(w http.ResponseWriter, id, outcome, reason string) {
 	r.expect(w)
 	w.Header().Set(headerOutcome, outcome)
 	w.Header().Set(headerReason, reason)
 	w.WriteHeader(http.StatusServiceUnavailable)
-	r.log.Info("order not carried out", "outcome", outcome, "reason", reason)
+	r.log.Info("relayed request failed", "id", id, "outcome", outcome, "reason", reason)
 }
 
 // expect says how long one more prompt would wait and be read.
