--- a/coordination/pooler/pooler_test.go
+++ b/coordination/pooler/pooler_test.go
@@ -24,6 +24,7 @@
 // entry is one entry of a simulated fleet.
 type entry struct {
 	pool        *pooler.Pooler
+	turn        int // of the peers that hear it next
 	incarnation uint64
 	up          bool
 }
@@ -36,6 +37,7 @@
 	heard   map[[2]int]time.Duration
 	charged []float64 // in each tick
 	refused int
+	fan     int // peers that hear an entry in one exchange; 0 for all
 }
 
 func newFleet(n int) *fleet {
@@ -91,9 +93,16 @@
 }
 
 func (f *fleet) exchange() {
+	n := len(f.entries)
 	for i, a := range f.entries {
-		for j, b := range f.entries {
-			if i != j && a.up && b.up && !f.cut(i, j) {
+		fan := f.fan
+		if fan == 0 {
+			fan = n - 1
+		}
+		for range fan {
+			a.turn = a.turn%(n-1) + 1
+			j := (i + a.turn) % n
+			if b := f.entries[j]; a.up && b.up && !f.cut(i, j) {
 				f.heard[[2]int{j, i}] = f.clock.At
 				b.pool.Heard(fmt.Sprint(i), a.incarnation, a.pool.Totals())
 			}
@@ -184,6 +193,29 @@
 	c.Assert(f.most() <= limit+late+5*900, qt.IsTrue, qt.Commentf("%.0f of %.0f", f.most(), limit))
 }
 
+// TestAllRestart restarts all of 28 entries at once under a hot team. Each hears a
+// third of the others in one exchange. It is listed in KNOWN-RED.txt.
+func TestAllRestart(t *testing.T) {
+	for _, hot := range []float64{4, 8, 12, 20, 40} {
+		c := qt.New(t)
+		f := newFleet(28)
+		f.fan = 8
+		r := rand.New(rand.NewPCG(1, 1))
+		f.run(10*time.Second, 0, 900, r)
+		f.run(10*time.Second, hot*team.Rate, 900, r)
+		for i := range f.entries {
+			f.start(i)
+			if i%7 == 0 {
+				f.run(tick, hot*team.Rate, 900, r)
+			}
+		}
+		f.run(10*time.Second, hot*team.Rate, 900, r)
+		// The users allow a tenth more, and a tenth of a second's rate.
+		allowed := 1.1*limit + 0.1*team.Rate
+		c.Check(f.most() <= allowed, qt.IsTrue, qt.Commentf("asked for %.0f times its rate: %.0f of %.0f", hot, f.most(), allowed))
+	}
+}
+
 // TestDivided answers a fleet in two parts that don't hear each other, with a
 // hot team at both.
 func TestDivided(t *testing.T) {
