--- a/coordination/biller/biller_test.go
+++ b/coordination/biller/biller_test.go
@@ -61,9 +61,12 @@
 	return o
 }
 
-func (o *office) biller(name string) *biller.Biller {
+func (o *office) biller(name string) *biller.Biller { return o.lifetime(name, incarnation) }
+
+// lifetime returns the biller of one lifetime of a process.
+func (o *office) lifetime(name string, n uint64) *biller.Biller {
 	return biller.New(biller.Settings{Window: 5 * time.Second, Settle: 1500 * time.Millisecond},
-		func() (string, uint64) { return name, incarnation }, o.table(), o.intake,
+		func() (string, uint64) { return name, n }, o.table(), o.intake,
 		func() (time.Time, bool) { return o.now, true },
 		func() (int64, bool) { return o.epoch, o.holder == name }, slog.New(slog.DiscardHandler))
 }
@@ -207,10 +210,7 @@
 	// All die. The first window is reported again as it was, the second one
 	// has what both counted.
 	o.epoch = 2
-	next := biller.New(biller.Settings{Window: 5 * time.Second, Settle: 1500 * time.Millisecond},
-		func() (string, uint64) { return "a", incarnation + 1 }, o.table(), o.intake,
-		func() (time.Time, bool) { return o.now, true },
-		func() (int64, bool) { return o.epoch, true }, slog.New(slog.DiscardHandler))
+	next := o.lifetime("a", incarnation+1)
 	o.now = start.Add(9 * time.Second)
 	c.Assert(next.Step(ctx), qt.IsNil)
 	next.Begun("u")
