--- a/cmd/radishspoked/daemon.go
+++ b/cmd/radishspoked/daemon.go
@@ -29,10 +29,10 @@
 		Usage: "run an entry: the process that callers reach",
 		Description: "On SIGTERM the entry stops being ready, finishes its requests and leaves.\n\n" +
 			"Example:\n   radishspoked entry --settings examples/entry.ini",
-		Flags: []cli.Flag{settingsFlag(), newMetricsFlag(), newRelayFlag()},
+		Flags: []cli.Flag{settingsFlag(), newMetricsFlag()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if path, ok := onPlatform(c); ok {
-				return runFleetEntry(ctx, path, c.Int(metricsFlag), c.Bool(relayFlag))
+				return runFleetEntry(ctx, path, c.Int(metricsFlag))
 			}
 			s, err := ownSettings(c)
 			if err != nil {
--- a/cmd/radishspoked/fleet.go
+++ b/cmd/radishspoked/fleet.go
@@ -54,25 +54,13 @@
 	return &cli.IntFlag{Name: metricsFlag, Usage: "serve metrics at /metrics of `PORT`, on the platform; 0 for nowhere"}
 }
 
-// relayFlag lets an entry with a slow link send long prompts through sidecars. It
-// is off, as more prompts run then than the limits over 28 entries hold back when
-// all entries are restarted at once (docs/notes/platform.md).
-const relayFlag = "relay"
-
-func newRelayFlag() cli.Flag {
-	return &cli.BoolFlag{Name: relayFlag, Usage: "send long prompts through sidecars if the host's link is slow, on the platform"}
-}
-
-func runFleetEntry(ctx context.Context, path string, metrics int, relay bool) error {
+func runFleetEntry(ctx context.Context, path string, metrics int) error {
 	changed, ignore := hangUps()
 	defer ignore()
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
-	if !relay {
-		s.Link = 0 // an unknown link counts as fast
-	}
 	env, closeLog := fleetEnvironment()
 	defer closeLog()
 	e, err := assembler.NewFleetEntry(s, env, metrics)
--- a/coordination/placer/placer.go
+++ b/coordination/placer/placer.go
@@ -171,20 +171,6 @@
 	return generators > 0
 }
 
-// Roles returns how many engines of a group read prompts and how many generate.
-func (p *Placer) Roles(group string) (readers, generators int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, t := range p.groups[group] {
-		if t.Role == radishspoke.PrefillRole {
-			readers++
-		} else {
-			generators++
-		}
-	}
-	return readers, generators
-}
-
 // Queue tells how long a new request would wait for its turn at an engine and
 // take it.
 type Queue func(engine string) time.Duration
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -54,6 +54,7 @@
 	time      *timekeeper.Timekeeper
 	recorder  *recorder.Recorder
 	repeats   *repeats
+	random    *rand.Rand // of the goroutine that asks peers
 	callers   *http.Server
 	ready     *http.Server
 	known     *http.Server
@@ -127,6 +128,7 @@
 	e.client.Observe(e.time.Observe)
 	e.keys = authenticator.New(e.standing)
 	e.placer = placer.New(placer.Settings{Zone: s.Zone}, clock, rand.New(rand.NewPCG(env.Seed, 1)))
+	e.random = rand.New(rand.NewPCG(env.Seed, 2))
 	e.sequencer = sequencer.New(sequencer.Settings{}, clock)
 	e.caller = caller.New(caller.Settings{}, env.Network, clock)
 	e.sidecars = caller.New(caller.Settings{Idle: sidecarIdle, DialTimeout: sidecarDial}, env.Network, clock)
@@ -290,13 +292,7 @@
 	if e.leaving.Load() {
 		return nil
 	}
-	rank := 0
-	for _, p := range e.gossiper.Peers() {
-		if p.Live && p.Process < e.settings.Name {
-			rank++
-		}
-	}
-	if _, holds := e.elector.Holds(biller.Duty); holds || rank < reporters {
+	if _, holds := e.elector.Holds(biller.Duty); holds || e.rank() < reporters {
 		return map[string]int{biller.Duty: 0} // the first to write takes it
 	}
 	return nil
--- a/internal/assembler/fleetexchange.go
+++ b/internal/assembler/fleetexchange.go
@@ -74,7 +74,7 @@
 		case <-ticks:
 		}
 		digest, read := e.follower.Digest()
-		if !e.first() || digest == 0 || e.env.Clock.Now()-read > freshTime {
+		if e.rank() > 0 || digest == 0 || e.env.Clock.Now()-read > freshTime {
 			continue
 		}
 		data, err := proto.Marshal(&wire.Gossip{Process: e.settings.Name, Digest: digest})
@@ -95,12 +95,13 @@
 	}
 }
 
-// first tells whether no live entry comes before this one.
-func (e *FleetEntry) first() bool {
+// rank returns how many live entries come before this one.
+func (e *FleetEntry) rank() int {
+	n := 0
 	for _, p := range e.gossiper.Peers() {
 		if p.Live && p.Process < e.settings.Name {
-			return false
+			n++
 		}
 	}
-	return true
+	return n
 }
--- a/internal/assembler/fleetpeers.go
+++ b/internal/assembler/fleetpeers.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -51,7 +50,7 @@
 	if len(watching) == 0 {
 		return follower.Known{}, false, nil // nobody reaches the platform
 	}
-	address := watching[rand.IntN(len(watching))]
+	address := watching[e.random.IntN(len(watching))]
 	ctx, cancel := context.WithTimeout(ctx, freshTime)
 	defer cancel()
 	q := url.Values{"version": {strconv.FormatInt(version, 10)}, "digest": {strconv.FormatUint(digest, 10)}}
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -100,13 +100,6 @@
 	return p.counts
 }
 
-// Commits returns the transactions that took effect, in order.
-func (p *Platform) Commits() []CommitRecord {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return append([]CommitRecord(nil), p.commits...)
-}
-
 // Usage returns the usage reports so far.
 func (p *Platform) Usage() []UsageReport {
 	p.mu.Lock()
--- a/internal/soaker/host.go
+++ b/internal/soaker/host.go
@@ -71,9 +71,6 @@
 		return errors.Wrap(err, "open a log")
 	}
 	h.command = exec.Command(h.soak.settings.Program, h.role)
-	if h.role == "entry" {
-		h.command.Args = append(h.command.Args, "--relay")
-	}
 	h.command.Env = append(os.Environ(), platform.SettingsVariable+"="+h.path)
 	h.command.Stdout, h.command.Stderr = log, log
 	if err := h.command.Start(); err != nil {
--- a/state/recorder/recorder.go
+++ b/state/recorder/recorder.go
@@ -20,11 +20,6 @@
 	Registry metrics.Registry
 }
 
-const (
-	reservoirSize  = 1028
-	reservoirAlpha = 0.015
-)
-
 // New returns a Recorder with an empty registry.
 func New() *Recorder { return &Recorder{Registry: metrics.NewRegistry()} }
 
@@ -51,9 +46,7 @@
 }
 
 func (r *Recorder) observe(name string, took time.Duration) {
-	h := r.Registry.GetOrRegister(name, func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
-	})
+	h := r.Registry.GetOrRegister(name, newHistogram)
 	h.(metrics.Histogram).Update(took.Microseconds())
 }
 
