Log how the answer of a target is framed and whether its stream stops inside an event

Change: the line of a request has framing and partial, the sidecar reports the framing of answers that it relays, and streams_total counts streams by both. No decision changes. Result: the tests of the packages pass.

--- a/coordination/fleetdispatcher/failure.go
+++ b/coordination/fleetdispatcher/failure.go
@@ -73,7 +73,8 @@
 // of 0 means that the caller disconnected. Some keys of the line differ from the
 // names in the code: turn is the queue time, read the prefill time, sendoff the
 // response time of the last target, first the time from the arrival to the first
-// event, pause the longest gap between events, and left the time to the deadline.
+// event, pause the longest gap between events, partial the number of bytes after the
+// last whole event, and left the time to the deadline.
 func (d *Dispatcher) logRequest(j *job, status int, outcome string) {
 	now := d.Clock.Now()
 	level := slog.LevelInfo
@@ -97,5 +98,5 @@
 	}
 	d.Log.Log(context.Background(), level, "request", "id", j.incoming.ID, "route", j.rule.Name, "team", j.team.Name, "status", status,
 		"outcome", outcome, "targets", j.visited, "took", now-j.arrived, "turn", j.queueTime, "read", j.prefill,
-		"sendoff", j.responseTime, "first", firstEvent, "pause", j.longestGap, "left", left)
+		"sendoff", j.responseTime, "first", firstEvent, "pause", j.longestGap, "framing", j.framing, "partial", j.partial, "left", left)
 }
--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -121,6 +121,10 @@
 type Recorder interface {
 	ObserveRequest(team, route string, outcome radishspoke.Outcome, status int, took time.Duration)
 	ObserveFirstToken(team, route string, took time.Duration)
+
+	// ObserveStream records the end of a stream of a target: how it was framed,
+	// whether it ended without an error, and whether it ended inside an event.
+	ObserveStream(framing string, ended, partial bool)
 }
 
 // Shutdown tells whether a planned shutdown of this process is in progress.
--- a/coordination/fleetdispatcher/job.go
+++ b/coordination/fleetdispatcher/job.go
@@ -8,6 +8,7 @@
 
 	"radishspoke"
 	"radishspoke/platform"
+	"radishspoke/transport/httpclient"
 )
 
 // job holds the state of one request. Points in time are on the clock of the
@@ -53,6 +54,9 @@
 
 	prefillEnd time.Duration // time at which another engine had prefilled the prompt; 0 if none has
 
+	framing httpclient.Framing // of the last answer of a target; empty if there was none
+	partial int                // bytes after the last whole event, when the last stream ended
+
 	// firstEvent and lastEvent are the times of the first and the newest event,
 	// and longestGap is the longest time between two events.
 	firstEvent, lastEvent, longestGap time.Duration
--- a/coordination/fleetdispatcher/relay.go
+++ b/coordination/fleetdispatcher/relay.go
@@ -57,5 +57,5 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	return &reply{Response: a, AnswerHeader: platform.DecodeAnswer(a.Status, a.Header)}, out.ResponseTime, nil
+	return &reply{Response: a, AnswerHeader: platform.DecodeAnswer(a.Status, a.Header), framing: out.Framing}, out.ResponseTime, nil
 }
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -19,6 +19,8 @@
 type reply struct {
 	*httpclient.Response
 	platform.AnswerHeader
+
+	framing httpclient.Framing // at the target, also of an answer that a sidecar relayed
 }
 
 // send sends a request to a target once. The errors are those of package httpclient.
@@ -29,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &reply{Response: a, AnswerHeader: platform.DecodeAnswer(a.Status, a.Header)}, nil
+	return &reply{Response: a, AnswerHeader: platform.DecodeAnswer(a.Status, a.Header), framing: a.Framing}, nil
 }
 
 // request returns the request in the form in which it is sent to targets.
@@ -124,6 +126,7 @@
 		return d.decide(ctx, j, mayHaveRun, timer.charged.Load()), err.Error()
 	}
 	defer r.Close()
+	j.framing = r.framing
 	report := newReport(ctx, r, nil)
 	if r.NotRun {
 		d.Router.End(t.ID, report)
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -31,7 +31,7 @@
 		return d.streamNotOpened(ctx, j, plan, timer, err)
 	}
 	j.requested = true
-	j.responseTime = took
+	j.responseTime, j.framing = took, r.framing
 	plan.end(took)
 	defer r.Close()
 	if r.NotRun {
@@ -76,6 +76,7 @@
 		return finished, ""
 	}
 	err = d.copyEvents(j, aw, r, timer)
+	d.Recorder.ObserveStream(string(r.framing), err == nil, j.partial > 0)
 	if err == nil {
 		d.Estimator.ObserveOutput(j.group.Name, j.incoming.Generation.Output, j.lastEvent-j.firstEvent)
 		return finished, ""
@@ -153,6 +154,7 @@
 	var pending []byte
 	buffer := make([]byte, copyBuffer)
 	timer.reset(maxEventGap)
+	j.partial = 0
 	for {
 		n, err := r.Read(buffer)
 		pending = append(pending, buffer[:n]...)
@@ -164,6 +166,7 @@
 			pending = append(pending[:0], pending[end:]...)
 			timer.reset(maxEventGap) // only whole events show that the engine goes on
 		}
+		j.partial = len(pending)
 		if len(pending) > maxEventBytes {
 			return errEventTooLong
 		}
--- a/coordination/relayer/client.go
+++ b/coordination/relayer/client.go
@@ -78,6 +78,9 @@
 	PrefillTime  time.Duration // duration of the prefill
 	ResponseTime time.Duration // until the decode engine answered
 
+	// Framing is that of the answer at the decode engine.
+	Framing httpclient.Framing
+
 	// Waiting and Slots are the load of the prefill engine. Slots is 0 if the
 	// load is not known.
 	Waiting, Slots int
@@ -273,7 +276,7 @@
 	c.recordReport(engine, a.Header)
 	out := decodeStats(a.Header)
 	kind, reason := a.Header.Get(headerOutcome), a.Header.Get(headerReason)
-	for _, n := range []string{headerOutcome, headerReason, headerExpectedWait, headerQueueTime, headerPrefillTime, headerResponseTime, headerLoad} {
+	for _, n := range []string{headerOutcome, headerReason, headerExpectedWait, headerQueueTime, headerPrefillTime, headerResponseTime, headerLoad, headerFraming} {
 		a.Header.Del(n)
 	}
 	if kind == outcomeAnswer {
@@ -325,6 +328,7 @@
 // decodeStats returns the measurements in the headers of a Relayer.
 func decodeStats(h http.Header) Stats {
 	o := Stats{QueueTime: headerTime(h, headerQueueTime), PrefillTime: headerTime(h, headerPrefillTime), ResponseTime: headerTime(h, headerResponseTime)}
+	o.Framing = httpclient.Framing(h.Get(headerFraming))
 	if waiting, slots, ok := strings.Cut(h.Get(headerLoad), ","); ok {
 		// Malformed values are treated as unknown.
 		o.Waiting, _ = strconv.Atoi(waiting)
--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -49,6 +49,7 @@
 	headerPrefillTime  = "Relay-Read"   // prefill time of this prompt
 	headerResponseTime = "Relay-Took"   // response time of the decode engine
 	headerLoad         = "Relay-Load"   // waiting,slots of the prefill engine
+	headerFraming      = "Relay-Frame"  // framing of the answer of the decode engine
 )
 
 // Values of headerOutcome.
@@ -202,11 +203,12 @@
 		out[k] = v
 	}
 	out.Set(headerOutcome, outcomeAnswer)
+	out.Set(headerFraming, string(a.Framing))
 	out["Date"] = a.Header["Date"]
 	out["Content-Type"] = a.Header["Content-Type"] // nil disables content sniffing by the server
 	w.WriteHeader(a.Status)
 	if err := copyStream(w, a); err != nil {
-		r.log.Warn("answer broken off", "id", o.ID, "engine", o.DecodeAddress, "error", err)
+		r.log.Warn("answer broken off", "id", o.ID, "engine", o.DecodeAddress, "framing", a.Framing, "error", err)
 		panic(http.ErrAbortHandler) // a truncated answer must not look complete
 	}
 }
--- a/state/recorder/recorder.go
+++ b/state/recorder/recorder.go
@@ -36,6 +36,12 @@
 	r.observe(fmt.Sprintf("first_token_seconds{team=%q,route=%q}", team, route), d)
 }
 
+// ObserveStream records the end of a stream of a target: how it was framed,
+// whether it ended without an error, and whether it ended inside an event.
+func (r *Recorder) ObserveStream(framing string, ended, partial bool) {
+	metrics.GetOrRegisterCounter(fmt.Sprintf("streams_total{framing=%q,ended=\"%t\",partial=\"%t\"}", framing, ended, partial), r.Registry).Inc(1)
+}
+
 // AddTokens adds n to the number of output tokens that were sent to a team and
 // charged to it.
 func (r *Recorder) AddTokens(team string, n int) {
--- a/transport/httpclient/httpclient.go
+++ b/transport/httpclient/httpclient.go
@@ -125,18 +125,28 @@
 	expires time.Duration // time of the client's clock after which it is not reused
 }
 
+// Framing tells how the end of the body of a response is known.
+type Framing string
+
+// Ways of framing a body.
+const (
+	ByLength   Framing = "length" // the header has the length
+	ByChunks   Framing = "chunks" // an empty chunk follows the body
+	UntilClose Framing = "close"  // the body ends with the connection
+)
+
 // Response is the response of a target. It implements io.ReadCloser for the
 // body, which must be read to the end or closed.
 type Response struct {
-	Status int
-	Header http.Header
+	Status  int
+	Header  http.Header
+	Framing Framing
 
 	client    *Client
 	conn      *connection
 	response  *http.Response
 	writeDone <-chan error // result of writing the request; nil if written before the response was read
 	release   func() bool  // detaches the connection from the call's context
-	framed    bool         // whether the body has a length or is chunked, so that the connection stays open after it
 	finished  bool         // whether finish has been called
 }
 
@@ -301,8 +311,7 @@
 			continue
 		}
 		if call.Matches == nil || call.Matches(r.StatusCode, r.Header) {
-			framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-			return &Response{Status: r.StatusCode, Header: r.Header, conn: conn, response: r, writeDone: writeDone, framed: framed}, nil
+			return &Response{Status: r.StatusCode, Header: r.Header, Framing: framingOf(r), conn: conn, response: r, writeDone: writeDone}, nil
 		}
 		if err := discard(r); err != nil {
 			return nil, fmt.Errorf("%w: skip an answer to another request: %w", ErrNoResponse, err)
@@ -312,6 +321,17 @@
 	return nil, fmt.Errorf("%w: only answers to other requests, or interim ones", ErrNoResponse)
 }
 
+// framingOf returns the framing of the body of a response.
+func framingOf(r *http.Response) Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return ByChunks
+	case r.ContentLength >= 0:
+		return ByLength
+	}
+	return UntilClose
+}
+
 // maxSkippedBody is the maximum length, in bytes, of the body of a response to
 // another request that is read and discarded.
 const maxSkippedBody = 1 << 20
@@ -319,7 +339,7 @@
 // discard reads the body of a response to another request, so that the next
 // response can be read from the connection.
 func discard(r *http.Response) error {
-	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+	if framingOf(r) == UntilClose {
 		return errors.New("answer has no length")
 	}
 	var body bytes.Buffer
@@ -385,7 +405,7 @@
 	}
 	// If release returns false, the context has ended and the connection is
 	// being closed.
-	if r.release() && complete && sent && r.framed && !r.response.Close {
+	if r.release() && complete && sent && r.Framing != UntilClose && !r.response.Close {
 		r.client.putIdle(r.conn, r.idleTimeout())
 		return
 	}
