Take a stream that ends inside an event as broken off

Cause: the end of the body was taken as the end of the stream. It is not: a sender that fails may end its framing, or the answer has none and the end of the connection ends the body. The entry then sent the rest of the event and ended its own framing properly. Class of fault: the end of a transport taken as the end of a message. The same cause was in the sidecar's relay, on streaming routes without sizes, and in the client of the own deployment's services; engines of the own deployment send an end line and were sound. Change: package eventreader knows where events end. Both clients give a stream of events that ends inside an event, or whose connection is closed before the first one, an error instead of io.EOF; the dispatcher and the sidecar treat it like any broken stream: resume it where that is allowed, abort it otherwise. The dispatcher finds the end of an event in every form of line end by the same function. The test of services compares with ErrorIs instead of Equals, as the error has more context now. Result: no event that is not whole reaches a caller, so that what a caller has counts as complete only if it ends after an event.

--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -13,6 +13,7 @@
 	"radishspoke/coordination/relayer"
 	"radishspoke/coordination/sequencer"
 	"radishspoke/platform"
+	"radishspoke/transport/eventreader"
 	"radishspoke/transport/httpclient"
 )
 
@@ -158,8 +159,7 @@
 	for {
 		n, err := r.Read(buffer)
 		pending = append(pending, buffer[:n]...)
-		if end := bytes.LastIndex(pending, eventEnd); end >= 0 {
-			end += len(eventEnd)
+		if end := eventreader.End(pending); end > 0 {
 			if err := d.forwardEvents(j, aw, r, pending[:end]); err != nil {
 				return err
 			}
@@ -171,7 +171,10 @@
 			return errEventTooLong
 		}
 		if errors.Is(err, io.EOF) {
-			return d.forwardEvents(j, aw, r, pending)
+			if len(pending) > 0 {
+				return eventreader.ErrBrokenOff
+			}
+			return d.forwardEvents(j, aw, r, nil)
 		}
 		if err != nil {
 			return err
@@ -210,10 +213,7 @@
 	return nil
 }
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("\nid:")
-)
+var idField = []byte("\nid:")
 
 // lastEventID returns the last id among events, or "" if there is none.
 func lastEventID(events []byte) string {
--- /dev/null
+++ b/transport/eventreader/eventreader.go
@@ -0,0 +1,71 @@
+package eventreader
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// ErrBrokenOff is returned for a stream that ends inside an event, or whose
+// connection was closed before the first one. It wraps io.ErrUnexpectedEOF.
+var ErrBrokenOff = fmt.Errorf("stream of events was broken off: %w", io.ErrUnexpectedEOF)
+
+// blankLines are the endings of an event: a blank line, in each form of line end.
+var blankLines = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
+// maxBlankLine is the length of the longest of blankLines in bytes.
+const maxBlankLine = 3
+
+// End returns the number of bytes at the start of b that hold whole events.
+func End(b []byte) int {
+	end := 0
+	for _, l := range blankLines {
+		if i := bytes.LastIndex(b, l); i >= 0 {
+			end = max(end, i+len(l))
+		}
+	}
+	return end
+}
+
+// Check makes the body of a response end with ErrBrokenOff, instead of io.EOF, if
+// the response is a stream of events and was broken off. The framing of the body
+// does not tell: a sender that fails may still end its framing, and if there is
+// none, the end of the connection is the end of the body.
+func Check(r *http.Response) {
+	mediaType, _, _ := strings.Cut(r.Header.Get("Content-Type"), ";")
+	if r.Body == http.NoBody || !strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream") {
+		return
+	}
+	r.Body = &reader{ReadCloser: r.Body, framed: r.ContentLength >= 0 || len(r.TransferEncoding) > 0}
+}
+
+// reader is the body of a stream of events.
+type reader struct {
+	io.ReadCloser
+	framed bool   // the body has a length or chunks
+	tail   []byte // last bytes read, at most maxBlankLine
+}
+
+// Read implements io.Reader.
+func (r *reader) Read(p []byte) (int, error) {
+	n, err := r.ReadCloser.Read(p)
+	r.tail = append(r.tail, p[max(0, n-maxBlankLine):n]...)
+	r.tail = append(r.tail[:0], r.tail[max(0, len(r.tail)-maxBlankLine):]...)
+	if errors.Is(err, io.EOF) && !r.complete() {
+		return n, ErrBrokenOff
+	}
+	return n, err
+}
+
+// complete reports whether the stream is whole if it ends here. A connection that is
+// closed without an event may be that of a sender that failed.
+func (r *reader) complete() bool {
+	if len(r.tail) == 0 {
+		return r.framed
+	}
+	return End(r.tail) == len(r.tail)
+}
--- /dev/null
+++ b/transport/eventreader/eventreader_test.go
@@ -0,0 +1,57 @@
+package eventreader_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+
+	"radishspoke/transport/eventreader"
+)
+
+// TestCheck checks which bodies count as whole, whether they are read in one piece or
+// byte by byte.
+func TestCheck(t *testing.T) {
+	for _, k := range []struct {
+		body      string
+		framed    bool
+		mediaType string
+		want      error
+	}{
+		{"data: a\n\n", false, "text/event-stream", nil},
+		{"data: a\r\n\r\ndata: b\r\n\r\n", false, "Text/Event-Stream;charset=utf-8", nil},
+		{"data: a\r\r", true, "text/event-stream", nil},
+		{"", true, "text/event-stream", nil},
+		{"", false, "text/event-stream", io.ErrUnexpectedEOF},
+		{"data: a\n\ndata: b\n", true, "text/event-stream", io.ErrUnexpectedEOF},
+		{"data: a\r\n\r\ndata: b\r\n", false, "text/event-stream", io.ErrUnexpectedEOF},
+		{"data: a", true, "text/event-stream", io.ErrUnexpectedEOF},
+		{"data: a", false, "text/plain", nil},
+	} {
+		for _, bytewise := range []bool{false, true} {
+			c := qt.New(t)
+			body := io.Reader(strings.NewReader(k.body))
+			if bytewise {
+				body = iotest.OneByteReader(body)
+			}
+			r := &http.Response{Header: http.Header{"Content-Type": {k.mediaType}}, Body: io.NopCloser(body), ContentLength: -1}
+			if k.framed {
+				r.ContentLength = int64(len(k.body))
+			}
+			eventreader.Check(r)
+			got, err := io.ReadAll(r.Body)
+			c.Assert(err, qt.ErrorIs, k.want, qt.Commentf("%+v", k))
+			c.Assert(string(got), qt.Equals, k.body)
+		}
+	}
+}
+
+func ExampleEnd() {
+	b := []byte("data: first\n\ndata: sec")
+	fmt.Printf("%q\n", b[eventreader.End(b):])
+	// Output: "data: sec"
+}
--- a/transport/httpclient/httpclient.go
+++ b/transport/httpclient/httpclient.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"radishspoke"
+	"radishspoke/transport/eventreader"
 )
 
 // Errors returned by Do.
@@ -311,6 +312,7 @@
 			continue
 		}
 		if call.Matches == nil || call.Matches(r.StatusCode, r.Header) {
+			eventreader.Check(r)
 			return &Response{Status: r.StatusCode, Header: r.Header, Framing: framingOf(r), conn: conn, response: r, writeDone: writeDone}, nil
 		}
 		if err := discard(r); err != nil {
@@ -371,7 +373,8 @@
 }
 
 // Read reads from the body. It returns io.EOF only at the end of a complete
-// response.
+// response. A body without framing, other than a stream of events, is taken as
+// complete if the connection was closed and not reset.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.response.Body.Read(p)
 	if err == nil {
--- a/transport/targetclient/service.go
+++ b/transport/targetclient/service.go
@@ -12,6 +12,7 @@
 
 	"radishspoke"
 	"radishspoke/transport"
+	"radishspoke/transport/eventreader"
 )
 
 // RequestHeader is the header with the request's id in requests to services.
@@ -39,7 +40,8 @@
 func (s *Service) Close() { s.client.CloseIdleConnections() }
 
 // Call sends a request to the service and returns its response. The error wraps
-// radishspoke.ErrTargetRefused or radishspoke.ErrTargetFailed.
+// radishspoke.ErrTargetRefused or radishspoke.ErrTargetFailed. The body of a stream of
+// events is checked as by eventreader.Check.
 func (s *Service) Call(ctx context.Context, id string, c radishspoke.Call) (radishspoke.Answer, error) {
 	// The HTTP client may resend a request that has no body or has GetBody set.
 	// It does not resend one whose body, even if empty, is of a type that it
@@ -60,6 +62,7 @@
 	if err != nil {
 		return radishspoke.Answer{}, fmt.Errorf("%w: %s", classifyError(err), err.Error())
 	}
+	eventreader.Check(r)
 	return radishspoke.Answer{Status: r.StatusCode, Header: r.Header, Body: r.Body}, nil
 }
 
--- a/transport/targetclient/service_test.go
+++ b/transport/targetclient/service_test.go
@@ -48,7 +48,7 @@
 			c.Assert(err, qt.IsNil)
 			defer func() { _ = a.Body.Close() }()
 			_, err = io.ReadAll(a.Body)
-			c.Assert(err, qt.Equals, k.want)
+			c.Assert(err, qt.ErrorIs, k.want)
 		})
 	}
 }
