Announce no length for a stream that may be resumed at another target

An answer whose first engine had framed it by length, and that went on at another engine with a longer rest, was cut at the announced length. Cause: the header of the first engine, with its Content-Length, was passed on for a body that another engine ends. Change: the length is left out of the head of a stream; the answer is chunked. Evidence: TestBrokenStreamIsResumed/length failed before, with an unexpected end at the caller, and passes.

--- a/coordination/fleetdispatcher/answer.go
+++ b/coordination/fleetdispatcher/answer.go
@@ -31,6 +31,14 @@
 	aw.w.WriteHeader(status)
 }
 
+// writeStreamHead is like writeHead, for a stream. The length that a target announces
+// is left out, because the stream may continue at another target.
+func (aw *answerWriter) writeStreamHead(status int, h http.Header) {
+	h = h.Clone()
+	h.Del("Content-Length")
+	aw.writeHead(status, h)
+}
+
 // write sends a part of the body and flushes it.
 func (aw *answerWriter) write(b []byte) error {
 	if _, err := aw.w.Write(b); err != nil {
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -187,7 +187,7 @@
 func (d *Dispatcher) forwardEvents(j *job, aw *answerWriter, r *reply, events []byte) error {
 	if len(events) == 0 {
 		if !aw.started {
-			aw.writeHead(r.Status, r.Header)
+			aw.writeStreamHead(r.Status, r.Header)
 		}
 		return nil
 	}
@@ -199,7 +199,7 @@
 		if j.prefillEnd > 0 {
 			d.Estimator.ObserveFirstEvent(j.group.Name, now-j.prefillEnd)
 		}
-		aw.writeHead(r.Status, r.Header)
+		aw.writeStreamHead(r.Status, r.Header)
 	} else {
 		j.longestGap = max(j.longestGap, now-j.lastEvent)
 	}
