Reset the connection of a caller of HTTP/1.0 whose answer breaks off

Cause: a response to HTTP/1.0 has neither chunks nor, for a stream, a length. Closing the connection, as the server does for an aborted handler, is its proper end. Change: transport.Abort resets such a connection; the fleet entry, the sidecar and the gateway of the own deployment use it.

--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -16,6 +16,7 @@
 	"radishspoke/coordination/relayer"
 	"radishspoke/coordination/sequencer"
 	"radishspoke/platform"
+	"radishspoke/transport"
 	"radishspoke/transport/httpclient"
 )
 
@@ -206,7 +207,7 @@
 		d.logRequest(j, aw.status, "answered")
 	case aw.started:
 		d.logRequest(j, aw.status, "broken off: "+fail.Message)
-		panic(http.ErrAbortHandler)
+		transport.Abort(w, r)
 	default:
 		d.writeFailure(w, j, fail)
 	}
--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"radishspoke"
 	"radishspoke/coordination/sequencer"
 	"radishspoke/platform"
+	"radishspoke/transport"
 	"radishspoke/transport/httpclient"
 )
 
@@ -138,7 +139,7 @@
 		return
 	}
 	w.WriteHeader(statusForwarded)
-	r.generate(ctx, w, o, h, arrived)
+	r.generate(ctx, w, q, o, h, arrived)
 }
 
 // prefill waits for the turn of an order and has its prompt prefilled. On
@@ -179,7 +180,7 @@
 
 // generate sends the request of an order to the decode engine and streams its
 // answer back.
-func (r *Relayer) generate(ctx context.Context, w http.ResponseWriter, o *Order, h *radishspoke.Handle, arrived time.Duration) {
+func (r *Relayer) generate(ctx context.Context, w http.ResponseWriter, q *http.Request, o *Order, h *radishspoke.Handle, arrived time.Duration) {
 	began := r.clock.Now()
 	c := o.Call(platform.TargetHeader{Instance: o.DecodeEngine, Remaining: arrived + o.Deadline - began, CacheSource: h})
 	a, err := r.targets.Do(ctx, o.DecodeAddress, c)
@@ -209,7 +210,7 @@
 	w.WriteHeader(a.Status)
 	if err := copyStream(w, a); err != nil {
 		r.log.Warn("answer broken off", "id", o.ID, "engine", o.DecodeAddress, "framing", a.Framing, "error", err)
-		panic(http.ErrAbortHandler) // a truncated answer must not look complete
+		transport.Abort(w, q)
 	}
 }
 
--- a/transport/gateway/call.go
+++ b/transport/gateway/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"radishspoke"
+	"radishspoke/transport"
 )
 
 // maxReplayBody is the length, in bytes, below which a body is read completely
@@ -55,9 +56,7 @@
 	case !s.started:
 		g.fail(w, r, q, err)
 	default:
-		// Abort the connection, so that the caller does not take the partial
-		// response for a complete one.
-		panic(http.ErrAbortHandler)
+		transport.Abort(w, r)
 	}
 }
 
