Break streams off in the soak in every way of framing

Change: its targets cut inside an event, a third each in the middle of the framing, with a proper end of it, and without any. Plain answers without framing are reset. The fake target can reset; a plain answer that is reset is a case of TestSafeRetried.

--- a/internal/fake/target.go
+++ b/internal/fake/target.go
@@ -47,6 +47,9 @@
 	// closed.
 	Unframed bool
 
+	// Reset resets the connection after the response.
+	Reset bool
+
 	// Chunked sends the body in two chunks instead of with Content-Length.
 	Chunked bool
 }
@@ -143,7 +146,11 @@
 		body = chunks(body, a.TruncateAt == 0)
 	}
 	_, _ = w.WriteString("\r\n" + body + a.After)
-	return w.Flush() == nil && a.TruncateAt == 0 && !a.Unframed
+	err := w.Flush()
+	if t, ok := c.(*net.TCPConn); ok && a.Reset {
+		_ = t.SetLinger(0) // fails only if the connection is closed already
+	}
+	return err == nil && a.TruncateAt == 0 && !a.Unframed && !a.Reset
 }
 
 // chunks returns a body in chunked encoding with two chunks. The empty chunk that
--- a/internal/soaker/target.go
+++ b/internal/soaker/target.go
@@ -203,7 +203,7 @@
 const (
 	refusalRate       = 0.15 // the request does not run, and the response says so
 	noResponseRate    = 0.15 // the request runs, and the connection is closed without a response
-	truncationRate    = 0.15 // the body ends early
+	truncationRate    = 0.15 // the body ends early, with or without a proper end of its framing
 	strayResponseRate = 0.15 // a response to an unknown request comes first
 )
 
@@ -215,7 +215,15 @@
 	case draw < noResponseRate:
 		return nil
 	case draw < noResponseRate+truncationRate:
-		a.TruncateAt = len(a.Body) / 2
+		a.TruncateAt = len(a.Body)/2 - 1 // inside an event of a stream
+		switch part := (draw - noResponseRate) / truncationRate; {
+		case part < 1.0/3:
+			// A plain body that is closed early without framing looks complete.
+			a.Unframed, a.Reset = true, !a.Chunked
+			a.Chunked = false
+		case part < 2.0/3 && a.Chunked: // the framing ends properly
+			a.Body, a.TruncateAt = a.Body[:a.TruncateAt], 0
+		}
 	case draw < noResponseRate+truncationRate+strayResponseRate:
 		a.Before = fake.StrayResponse("nobody", http.StatusOK)
 	}
