Log the parts of the prompts whose generations engines break off

Cause: the logs of second1 do not tell whether the engines ended under requests with something in common, under load, or under the same requests sent again. Change: a line for each generation that an engine breaks off, with engine, parts of the prompt and the time since the request was sent. No decision changes.

--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -27,9 +27,10 @@
 	d.Router.Begin(t.ID)
 	attemptCtx, timer := d.startAttempt(ctx, j)
 	defer timer.end()
+	sent := d.Clock.Now()
 	r, took, err := d.openStream(attemptCtx, j, plan, timer)
 	if err != nil {
-		return d.streamNotOpened(ctx, j, plan, timer, err)
+		return d.streamNotOpened(ctx, j, plan, timer, sent, err)
 	}
 	j.requested = true
 	j.responseTime, j.framing = took, r.framing
@@ -83,6 +84,7 @@
 		return finished, ""
 	}
 	report.Failed, report.Inconclusive = true, ctx.Err() != nil
+	d.logBreak(j, t.ID, sent, err)
 	return d.decide(ctx, j, true, timer.charged.Load()), err.Error()
 }
 
@@ -98,9 +100,9 @@
 	return r, d.Clock.Now() - start, err
 }
 
-// streamNotOpened handles an attempt that failed before a decode engine answered.
-// Its results are those of attemptStream.
-func (d *Dispatcher) streamNotOpened(ctx context.Context, j *job, plan prefillPlan, timer *attemptTimer, err error) (decision, string) {
+// streamNotOpened handles an attempt, sent at the given time, that failed before a
+// decode engine answered. Its results are those of attemptStream.
+func (d *Dispatcher) streamNotOpened(ctx context.Context, j *job, plan prefillPlan, timer *attemptTimer, sent time.Duration, err error) (decision, string) {
 	t := *plan.decoder
 	switch {
 	case errors.Is(err, relayer.ErrNotAccepted):
@@ -127,6 +129,7 @@
 	d.Router.End(t.ID, plan.newReport(ctx, nil, err, 0))
 	j.requested = true
 	j.markRun()
+	d.logBreak(j, t.ID, sent, err)
 	d.Targets.CloseIdle(t.Address)
 	return d.decide(ctx, j, true, timer.charged.Load()), err.Error()
 }
