Refuse prompts with a part on which engines end one after the other

Cause: nothing related the end of an engine to the prompts that it was working on, so that each further request with the part went to the next engine. Class of fault: input that brings its server down is taken for a fault of the server, and moved on to the next. Change: when an engine breaks generations off, the entry probes whether it still listens. If not, package quarantiner takes its end as evidence against the parts of the prompts that it was working on, all but the last of each. A part is blamed after three ends, each on a request that was sent after the previous end, without a completed generation on the part in the meantime and with one of another part: so neither the end of many engines at one moment nor engines that end whatever they do blame a part, and the parts that sound requests share with the bad ones are cleared by these. What one blamed part explains is not held against others. Entries pass cases on in their datagrams, as facts that do not change by being passed on. Prompts with a blamed part are refused before each send, at once and as not run, with the rest of the five minutes as Retry-After.

--- a/coordination/fleetdispatcher/budget_test.go
+++ b/coordination/fleetdispatcher/budget_test.go
@@ -1,6 +1,7 @@
 package fleetdispatcher
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"radishspoke"
 	"radishspoke/coordination/estimator"
 	"radishspoke/coordination/forecaster"
+	"radishspoke/coordination/quarantiner"
 	"radishspoke/internal/simulator"
 )
 
@@ -36,7 +38,8 @@
 	router := &stubRouter{leaving: map[string]bool{}, engines: []radishspoke.Instance{{ID: "e", Role: radishspoke.DecodeRole}}}
 	budgets := &stubBudgets{left: 1}
 	d := New(Dependencies{
-		Router: router, PromptQueue: &stubQueue{router: router}, RelayClient: stubRelay{}, RetryBudgets: budgets,
+		Quarantine: quarantiner.New(quarantiner.Settings{}, clock, slog.New(slog.DiscardHandler)),
+		Router:     router, PromptQueue: &stubQueue{router: router}, RelayClient: stubRelay{}, RetryBudgets: budgets,
 		Estimator: estimator.New(clock), Forecaster: forecaster.New(clock), Clock: clock,
 	})
 	j := &job{excluded: map[string]bool{}, deadline: clock.At + time.Second, startBy: clock.At + time.Second}
--- a/coordination/fleetdispatcher/failure.go
+++ b/coordination/fleetdispatcher/failure.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"radishspoke"
@@ -70,16 +69,6 @@
 	d.logRequest(j, fail.Status, fail.Code+": "+fail.Message)
 }
 
-// logBreak writes the log line of an engine that broke a generation off, with the parts
-// of the prompt and the time since the request was sent to the engine.
-func (d *Dispatcher) logBreak(j *job, engine string, sent time.Duration, reason error) {
-	var parts []string
-	for _, p := range j.incoming.Generation.Parts {
-		parts = append(parts, p.ID)
-	}
-	d.Log.Warn("generation broken off", "id", j.incoming.ID, "engine", engine, "parts", strings.Join(parts, ","), "after", d.Clock.Now()-sent, "error", reason)
-}
-
 // logRequest writes the log line of a finished request and counts it. A status
 // of 0 means that the caller disconnected. Some keys of the line differ from the
 // names in the code: turn is the queue time, read the prefill time, sendoff the
--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -115,6 +115,7 @@
 // Targets sends calls to targets.
 type Targets interface {
 	Do(ctx context.Context, address string, c *httpclient.Call) (*httpclient.Response, error)
+	Probe(ctx context.Context, address string) error
 	CloseIdle(address string)
 }
 
@@ -148,6 +149,7 @@
 	RelayClient  RelayClient
 	Estimator    Estimator
 	Forecaster   Forecaster
+	Quarantine   Quarantine
 	Targets      Targets
 	Recorder     Recorder
 	Shutdown     Shutdown
@@ -156,10 +158,15 @@
 }
 
 // Dispatcher serves the requests of callers. Create it with New.
-type Dispatcher struct{ Dependencies }
+type Dispatcher struct {
+	Dependencies
+	endings endings
+}
 
 // New returns a Dispatcher with the given dependencies.
-func New(d Dependencies) *Dispatcher { return &Dispatcher{Dependencies: d} }
+func New(d Dependencies) *Dispatcher {
+	return &Dispatcher{Dependencies: d, endings: endings{probing: map[string]bool{}}}
+}
 
 const (
 	// defaultDeadline applies if neither the caller nor the route sets a limit.
--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -55,6 +55,12 @@
 func (d *Dispatcher) serveGeneration(ctx context.Context, j *job, aw *answerWriter) *radishspoke.Failure {
 	lastReason := "no engine"
 	for {
+		if fail := d.checkPrompt(j); fail != nil {
+			if j.kept != nil {
+				relayer.ReleaseHandle(d.Targets, j.kept.handle, d.Log)
+			}
+			return fail
+		}
 		var p prefillPlan
 		if j.kept != nil {
 			p, j.kept = *j.kept, nil
@@ -72,7 +78,11 @@
 			}
 			p.decoder = &t
 		}
-		if fail := d.checkKey(j); fail != nil {
+		fail := d.checkKey(j)
+		if fail == nil {
+			fail = d.checkPrompt(j)
+		}
+		if fail != nil {
 			relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
 			p.end(0)
 			return fail
@@ -136,6 +146,10 @@
 		if err != nil {
 			return prefillPlan{}, d.failure(j, "queue", "the prompt can't be read before the deadline")
 		}
+		if fail := d.checkPrompt(j); fail != nil {
+			endTurn(0)
+			return prefillPlan{}, fail
+		}
 		if d.Router.Leaving(t.ID) { // since the request began to wait
 			endTurn(0)
 			j.excluded[t.ID] = true
--- a/coordination/fleetdispatcher/leaving_test.go
+++ b/coordination/fleetdispatcher/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"radishspoke/coordination/estimator"
 	"radishspoke/coordination/fleetrouter"
 	"radishspoke/coordination/forecaster"
+	"radishspoke/coordination/quarantiner"
 	"radishspoke/coordination/sequencer"
 	"radishspoke/internal/simulator"
 )
@@ -64,7 +66,8 @@
 	}}
 	queue := &stubQueue{router: router}
 	d := New(Dependencies{
-		Router: router, PromptQueue: queue, RelayClient: stubRelay{}, Estimator: estimator.New(clock), Forecaster: forecaster.New(clock), Clock: clock,
+		Quarantine: quarantiner.New(quarantiner.Settings{}, clock, slog.New(slog.DiscardHandler)),
+		Router:     router, PromptQueue: queue, RelayClient: stubRelay{}, Estimator: estimator.New(clock), Forecaster: forecaster.New(clock), Clock: clock,
 	})
 	j := &job{excluded: map[string]bool{}, deadline: clock.At + time.Second, startBy: clock.At + time.Second}
 	j.incoming.Generation = &radishspoke.GenerationInfo{Prompt: 100_000, Output: 10}
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -80,11 +80,14 @@
 	err = d.copyEvents(j, aw, r, timer)
 	d.Recorder.ObserveStream(string(r.framing), err == nil, j.partial > 0)
 	if err == nil {
+		d.Quarantine.Completed(j.group.Name, j.incoming.Generation.Parts)
 		d.Estimator.ObserveOutput(j.group.Name, j.incoming.Generation.Output, j.lastEvent-j.firstEvent)
 		return finished, ""
 	}
 	report.Failed, report.Inconclusive = true, ctx.Err() != nil
-	d.logBreak(j, t.ID, sent, err)
+	if ctx.Err() == nil {
+		d.handleBreak(j, t, sent, err)
+	}
 	return d.decide(ctx, j, true, timer.charged.Load()), err.Error()
 }
 
@@ -129,8 +132,10 @@
 	d.Router.End(t.ID, plan.newReport(ctx, nil, err, 0))
 	j.requested = true
 	j.markRun()
-	d.logBreak(j, t.ID, sent, err)
 	d.Targets.CloseIdle(t.Address)
+	if ctx.Err() == nil {
+		d.handleBreak(j, t, sent, err)
+	}
 	return d.decide(ctx, j, true, timer.charged.Load()), err.Error()
 }
 
--- a/coordination/fleetdispatcher/stream_test.go
+++ b/coordination/fleetdispatcher/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +16,7 @@
 
 	"radishspoke"
 	"radishspoke/coordination/estimator"
+	"radishspoke/coordination/quarantiner"
 	"radishspoke/platform"
 	"radishspoke/state/recorder"
 	"radishspoke/transport/httpclient"
@@ -45,7 +47,8 @@
 func copyFrom(c *qt.C, serve func(net.Conn)) (string, time.Duration, error) {
 	clock := ticker.NewMonotonicClock()
 	d := New(Dependencies{
-		Clock: clock, Estimator: estimator.New(clock), Recorder: recorder.New(), RetryBudgets: &stubBudgets{left: 1},
+		Quarantine: quarantiner.New(quarantiner.Settings{}, clock, slog.New(slog.DiscardHandler)),
+		Clock:      clock, Estimator: estimator.New(clock), Recorder: recorder.New(), RetryBudgets: &stubBudgets{left: 1},
 		Targets: httpclient.New(httpclient.Settings{}, pipe{serve: serve}, clock),
 	})
 	j := &job{deadline: clock.Now() + time.Minute, counted: true}
--- /dev/null
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -0,0 +1,309 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"radishspoke"
+	"radishspoke/coordination/quarantiner"
+	"radishspoke/internal/simulator"
+)
+
+const group = "llm"
+
+// prompt returns the parts of a prompt. The last one is that of the request itself.
+func prompt(shared ...string) []radishspoke.PromptPart {
+	var out []radishspoke.PromptPart
+	for _, id := range append(shared, "own") {
+		out = append(out, radishspoke.PromptPart{ID: id, Tokens: 100})
+	}
+	return out
+}
+
+// fleet is a set of processes that share one clock.
+type fleet struct {
+	clock     *simulator.ManualClock
+	processes []*quarantiner.Quarantiner
+	engines   int // that have ended
+}
+
+func newFleet(processes int) *fleet {
+	f := &fleet{clock: &simulator.ManualClock{At: time.Hour}}
+	for range processes {
+		f.processes = append(f.processes, quarantiner.New(quarantiner.Settings{}, f.clock, slog.New(slog.DiscardHandler)))
+	}
+	return f
+}
+
+// end has an engine end that runs generations on the given prompts, each sent running
+// ago by the process.
+func (f *fleet) end(process int, running time.Duration, prompts ...[]radishspoke.PromptPart) {
+	f.engines++
+	engine := fmt.Sprintf("e%d", f.engines)
+	for _, p := range prompts {
+		f.processes[process].Broken(engine, group, p, f.clock.At-running)
+	}
+	f.processes[process].Ended(engine)
+}
+
+// exchange has each process send a message to each other one, which takes delay.
+func (f *fleet) exchange(delay time.Duration) {
+	for i, from := range f.processes {
+		cases := from.Report()
+		for k := range cases {
+			cases[k].Ended += delay
+		}
+		for j, to := range f.processes {
+			if i != j {
+				to.Merge(cases)
+			}
+		}
+	}
+}
+
+// refuses reports whether a process refuses a prompt.
+func (f *fleet) refuses(process int, parts []radishspoke.PromptPart) bool {
+	_, _, ok := f.processes[process].Refuses(group, parts)
+	return ok
+}
+
+const (
+	step    = time.Second
+	running = 100 * time.Millisecond // of a generation
+)
+
+// Guards against second1: engines that end one after the other on one part. Prompts with
+// its other parts must still be served.
+func TestPartBlamed(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(1)
+	bad := prompt("first", "bad")
+	for range 3 {
+		c.Assert(f.refuses(0, bad), qt.IsFalse)
+		f.clock.At += step
+		f.end(0, running, bad, prompt("first", fmt.Sprint("sound", f.engines)))
+		f.clock.At += step
+		f.processes[0].Completed(group, prompt("first", "other"))
+	}
+	part, after, ok := f.processes[0].Refuses(group, bad)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(part, qt.Equals, "bad")
+	c.Assert(after, qt.Equals, 5*time.Minute-step)
+	for _, p := range []string{"sound0", "sound1", "sound2", "other"} {
+		c.Assert(f.refuses(0, prompt("first", p)), qt.IsFalse)
+	}
+	c.Assert(f.refuses(0, prompt("first")), qt.IsFalse)
+	// The part that belongs to one request is never blamed.
+	c.Assert(f.refuses(0, []radishspoke.PromptPart{{ID: "first"}, {ID: "bad"}}), qt.IsFalse)
+	f.clock.At += after
+	c.Assert(f.refuses(0, bad), qt.IsFalse)
+}
+
+// Guards against the quarantine of a sound part when several engines fail at one moment.
+func TestEndsAtOneMomentCountOnce(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(1)
+	for range 10 {
+		f.end(0, running, prompt("first", "sound"))
+	}
+	f.processes[0].Completed(group, prompt("other"))
+	f.clock.At += step
+	c.Assert(f.processes[0].Blamed(), qt.Equals, 0)
+}
+
+// Guards against a quarantine of all prompts when engines end whatever they work on.
+func TestNoBlameWithoutCompletions(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(1)
+	for range 10 {
+		f.clock.At += step
+		f.end(0, running, prompt("first"))
+	}
+	c.Assert(f.processes[0].Blamed(), qt.Equals, 0)
+}
+
+// Guards against the quarantine of a part that was on the engines by chance, and against
+// one that lasts.
+func TestPartReleasedOnceAnotherExplains(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(1)
+	for range 3 { // the deeper of two parts is blamed first
+		f.clock.At += step
+		f.end(0, running, prompt("first", "bad"), prompt("first", "x", "chance"))
+		f.processes[0].Completed(group, prompt("first", "x"))
+	}
+	f.clock.At += step
+	f.processes[0].Completed(group, prompt("first", "x"))
+	c.Assert(f.refuses(0, prompt("first", "x", "chance")), qt.IsTrue)
+	f.end(0, running, prompt("first", "bad"))
+	c.Assert(f.refuses(0, prompt("first", "bad")), qt.IsTrue)
+	c.Assert(f.refuses(0, prompt("first", "x", "chance")), qt.IsFalse)
+}
+
+// Guards against second1 across processes: each sees one of the ends only, and messages
+// that are passed on again and again must not move the times.
+func TestSpread(t *testing.T) {
+	c := qt.New(t)
+	const delay = 5 * time.Millisecond
+	f := newFleet(3)
+	bad := prompt("first", "bad")
+	for i := range f.processes {
+		f.clock.At += step
+		f.end(i, running, bad)
+		for _, p := range f.processes {
+			p.Completed(group, prompt("first"))
+		}
+	}
+	f.clock.At += delay
+	for range 2 { // the second round passes on what the first has brought
+		f.exchange(delay)
+	}
+	for i := range f.processes {
+		f.processes[i].Completed(group, prompt("first"))
+		c.Assert(f.processes[i].Blamed(), qt.Equals, 1)
+		c.Assert(f.refuses(i, bad), qt.IsTrue)
+	}
+	var times []time.Duration
+	for _, r := range f.processes[0].Report() {
+		times = append(times, r.Ended, r.Running)
+	}
+	for range 200 {
+		f.exchange(delay)
+	}
+	var later []time.Duration
+	for _, r := range f.processes[0].Report() {
+		later = append(later, r.Ended, r.Running)
+	}
+	c.Assert(later, qt.DeepEquals, times)
+	// A process that starts later learns it from the others.
+	f.processes = append(f.processes, newFleet(1).processes...)
+	f.clock.At += time.Minute
+	f.processes[3] = quarantiner.New(quarantiner.Settings{}, f.clock, slog.New(slog.DiscardHandler))
+	f.exchange(delay)
+	f.processes[3].Completed(group, prompt("first"))
+	f.exchange(delay)
+	c.Assert(f.processes[3].Blamed(), qt.Equals, 1)
+}
+
+// TestCompletionElsewhereClears checks that a completion at one process clears a part at
+// the others.
+func TestCompletionElsewhereClears(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(2)
+	sound := prompt("first", "sound")
+	for range 3 {
+		f.clock.At += step
+		f.end(0, running, sound)
+	}
+	f.clock.At += step
+	f.processes[0].Completed(group, prompt("first"))
+	c.Assert(f.processes[0].Blamed(), qt.Equals, 1)
+	f.processes[1].Completed(group, sound)
+	f.exchange(0)
+	f.exchange(0)
+	c.Assert(f.processes[0].Blamed(), qt.Equals, 0)
+	c.Assert(f.processes[1].Blamed(), qt.Equals, 0)
+}
+
+// TestRandomTraffic has engines end on a bad part, and at other times by themselves, under
+// random traffic of five processes that exchange messages each 200 ms. Whatever the seed,
+// no more than three requests with the part are sent later than 3 s after the fifth end
+// on it, and no sound part is refused at the end.
+func TestRandomTraffic(t *testing.T) {
+	const (
+		engines  = 8
+		parts    = 200 // besides the bad one
+		requests = 20_000
+		interval = 4 * time.Millisecond // between two requests
+		repair   = 3 * time.Second
+		contact  = 3 * time.Second // after the fifth end
+	)
+	type generation struct {
+		process int
+		parts   []radishspoke.PromptPart
+		bad     bool
+		sent    time.Duration
+		end     time.Duration
+	}
+	for seed := range uint64(8) {
+		c := qt.New(t)
+		f := newFleet(5)
+		random := rand.New(rand.NewPCG(seed, 1))
+		load := make([][]generation, engines)
+		down := make([]time.Duration, engines) // end of the repair
+		crashes, late, id := 0, 0, 0
+		fifth := time.Duration(0) // time of the fifth end on the bad part
+		fail := func(k int) {
+			id++
+			name := fmt.Sprintf("r%d", id)
+			for _, g := range load[k] {
+				f.processes[g.process].Broken(name, group, g.parts, g.sent)
+			}
+			for _, g := range load[k] {
+				f.processes[g.process].Ended(name)
+			}
+			load[k], down[k] = nil, f.clock.At+repair
+		}
+		for n := range requests {
+			f.clock.At += interval
+			now := f.clock.At
+			for k := range load {
+				rest := load[k][:0]
+				ended := false
+				for _, g := range load[k] {
+					switch {
+					case g.bad && now >= g.end:
+						ended = true
+						rest = append(rest, g)
+					case now >= g.end:
+						f.processes[g.process].Completed(group, g.parts)
+					default:
+						rest = append(rest, g)
+					}
+				}
+				if load[k] = rest; ended {
+					if crashes++; crashes == 5 {
+						fifth = now
+					}
+					fail(k)
+				}
+			}
+			if n%50 == 0 {
+				f.exchange(2 * time.Millisecond)
+			}
+			if n%5000 == 2500 { // half of the engines end at one moment
+				for k := range engines / 2 {
+					fail(k)
+				}
+			}
+			if n%1500 == 700 { // a single one
+				fail(random.IntN(engines))
+			}
+			g := generation{process: random.IntN(len(f.processes)), sent: now, end: now + time.Duration(50+random.IntN(100))*time.Millisecond}
+			// Few parts are in many prompts, and many in few.
+			g.parts = prompt(fmt.Sprint("first", random.IntN(4)), fmt.Sprint("p", int(float64(parts)*random.Float64()*random.Float64())))
+			if n > 2000 && random.IntN(40) == 0 {
+				g.parts, g.bad = prompt(fmt.Sprint("first", random.IntN(4)), "bad"), true
+			}
+			k := random.IntN(engines)
+			if f.refuses(g.process, g.parts) || now < down[k] {
+				continue
+			}
+			load[k] = append(load[k], g)
+			if g.bad && fifth > 0 && now > fifth+contact {
+				late++
+			}
+		}
+		f.exchange(0)
+		for i := range f.processes {
+			c.Assert(f.refuses(i, prompt("first0", "bad")), qt.IsTrue, qt.Commentf("seed %d", seed))
+			c.Assert(f.processes[i].Blamed(), qt.Equals, 1, qt.Commentf("seed %d, process %d", seed, i))
+		}
+		c.Assert(late <= 3, qt.IsTrue, qt.Commentf("seed %d: %d sent late, %d engines ended", seed, late, crashes))
+	}
+}
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -26,6 +26,7 @@
 	"radishspoke/coordination/forecaster"
 	"radishspoke/coordination/locator"
 	"radishspoke/coordination/planner"
+	"radishspoke/coordination/quarantiner"
 	"radishspoke/coordination/relayer"
 	"radishspoke/coordination/retrier"
 	"radishspoke/coordination/sequencer"
@@ -61,6 +62,7 @@
 	biller         *biller.Biller
 	elector        *elector.Elector
 	storeTime      *timekeeper.Timekeeper
+	quarantiner    *quarantiner.Quarantiner
 	recorder       *recorder.Recorder
 	retries        *retryBudgets
 	peerRandom     *rand.Rand // chooses the peer to ask; used by one goroutine only
@@ -147,6 +149,7 @@
 	e.estimator = estimator.New(clock)
 	e.locator = locator.New(locator.Settings{}, clock)
 	e.forecaster = forecaster.New(clock)
+	e.quarantiner = quarantiner.New(quarantiner.Settings{}, clock, env.Log)
 	e.dividers = map[string]*planner.Divider{}
 	e.router = fleetrouter.New(fleetrouter.Settings{Zone: s.Zone}, clock, rand.New(rand.NewPCG(env.Seed, 1)), e.estimator, e.locator, e.forecaster)
 	e.peerRandom = rand.New(rand.NewPCG(env.Seed, 2))
@@ -172,7 +175,7 @@
 	e.gossiper = gossiper.New(gossiper.Settings{Process: s.Name, Address: address}, e.table, conn, clock, env.Log, e.fillGossip, e.handleGossip)
 	f := fleetdispatcher.New(fleetdispatcher.Dependencies{
 		Tables: e.watcher, Keys: e.auth, KeyTrust: e, RateLimiter: e.limiter, RetryBudgets: e.retries, Usage: e.biller, Router: e.router,
-		PromptQueue: e.sequencer, RelayClient: e.relayClient, Estimator: e.estimator, Forecaster: e.forecaster, Targets: e.targetClient, Shutdown: e, Recorder: e.recorder, Clock: clock, Log: env.Log,
+		PromptQueue: e.sequencer, RelayClient: e.relayClient, Estimator: e.estimator, Forecaster: e.forecaster, Quarantine: e.quarantiner, Targets: e.targetClient, Shutdown: e, Recorder: e.recorder, Clock: clock, Log: env.Log,
 	})
 	logger := slog.NewLogLogger(env.Log.Handler(), slog.LevelDebug)
 	e.callerServer = &http.Server{
@@ -256,6 +259,7 @@
 		}
 		return float64(n)
 	})
+	e.recorder.Gauge("parts_quarantined", func() float64 { return float64(e.quarantiner.Blamed()) })
 	e.recorder.Gauge("target_connections_opened", func() float64 { return float64(e.targetClient.DialCount()) })
 }
 
@@ -308,6 +312,7 @@
 	e.estimator.Keep(l)
 	e.locator.Keep(l)
 	e.sequencer.Keep(l)
+	e.quarantiner.Keep(l)
 	e.router.SetTargets(l)
 	e.relayClient.SetEngines(l)
 }
--- a/transport/httpclient/httpclient.go
+++ b/transport/httpclient/httpclient.go
@@ -190,6 +190,11 @@
 		}
 		_ = conn.Close()
 	}
+	return c.dial(ctx, address)
+}
+
+// dial opens a connection to address.
+func (c *Client) dial(ctx context.Context, address string) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.DialTimeout)
 	defer cancel()
 	n, err := c.network.Dial(ctx, address)
@@ -203,6 +208,17 @@
 	return &connection{Conn: n, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}, nil
 }
 
+// Probe opens a connection to address and keeps it for a later call. The error wraps
+// syscall.ECONNREFUSED if no process listens there.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.putIdle(conn, c.settings.IdleTimeout)
+	return nil
+}
+
 // takeIdle removes the most recently used idle connection to address from the
 // pool and returns it, or nil if there is none. It closes the expired ones that it
 // finds.
