Count the ends of an engine that starts again with its id one by one

Cause: cases of the quarantine were told apart by the id of the engine. An engine may start again under its id, and a part that ends the same engine again and again would have counted once. Change: cases have the lifetime of the engine, its id and start. A part that has enough ends but waits for a completion of another part is blamed by that completion, not by the next message to other processes. Evidence: TestSameEngineAgain has one engine end three times; it could not be written against the interface before, which took ids.

--- a/coordination/fleetdispatcher/quarantine.go
+++ b/coordination/fleetdispatcher/quarantine.go
@@ -18,8 +18,8 @@
 // them. See quarantiner.Quarantiner.
 type Quarantine interface {
 	Refuses(group string, parts []radishspoke.PromptPart) (part string, after time.Duration, ok bool)
-	Broken(engine, group string, parts []radishspoke.PromptPart, sent time.Duration)
-	Ended(engine string)
+	Broken(engine radishspoke.Instance, parts []radishspoke.PromptPart, sent time.Duration)
+	Ended(engine radishspoke.Instance)
 	Completed(group string, parts []radishspoke.PromptPart)
 }
 
@@ -38,15 +38,15 @@
 	return notRunFailure(http.StatusServiceUnavailable, "quarantine", message, after)
 }
 
-// handleBreak handles a generation, sent to an engine at the given time, that the engine
-// has broken off.
+// handleBreak handles a generation or a prefill, sent to an engine at the given time, that
+// the engine has broken off.
 func (d *Dispatcher) handleBreak(j *job, t radishspoke.Instance, sent time.Duration, reason error) {
 	var ids []string
 	for _, p := range j.incoming.Generation.Parts {
 		ids = append(ids, p.ID)
 	}
 	d.Log.Warn("generation broken off", "id", j.incoming.ID, "engine", t.ID, "parts", strings.Join(ids, ","), "after", d.Clock.Now()-sent, "error", reason)
-	d.Quarantine.Broken(t.ID, j.group.Name, j.incoming.Generation.Parts, sent)
+	d.Quarantine.Broken(t, j.incoming.Generation.Parts, sent)
 	d.endings.check(t, d.Dependencies)
 }
 
@@ -86,7 +86,7 @@
 			err := d.Targets.Probe(ctx, t.Address)
 			if errors.Is(err, syscall.ECONNREFUSED) {
 				d.Log.Warn("engine has ended", "engine", t.ID, "address", t.Address)
-				d.Quarantine.Ended(t.ID)
+				d.Quarantine.Ended(t)
 			}
 			if !e.again(t.ID) {
 				return
--- a/coordination/quarantiner/judge.go
+++ b/coordination/quarantiner/judge.go
@@ -17,6 +17,7 @@
 			q.cases[k] = list
 		}
 	}
+	q.undecided = false
 	blamed := map[Key]time.Duration{}
 	explained := map[string]bool{} // engines whose end a blamed part explains
 	for {
@@ -53,8 +54,11 @@
 	most, depth := 0, 0
 	for k, list := range q.cases {
 		n, first := chain(list, explained)
-		// Without a completion since, engines may end whatever their prompts hold.
-		if n < q.settings.Ends || n < most || q.served[k.Group] <= first {
+		if n < q.settings.Ends || n < most {
+			continue
+		}
+		if q.served[k.Group] <= first { // engines may end whatever their prompts hold
+			q.undecided = true
 			continue
 		}
 		d := list[len(list)-1].Depth
--- a/coordination/quarantiner/quarantiner.go
+++ b/coordination/quarantiner/quarantiner.go
@@ -21,7 +21,7 @@
 // process but Ended, so that passing it on again and again does not change it.
 type Case struct {
 	Key
-	Engine string        // instance id
+	Engine string        // lifetime of the instance
 	Depth  int           // number of parts before the part in its prompt
 	Ended  time.Duration // time at which the engine ended, on the clock of this process
 
@@ -97,10 +97,11 @@
 	log      *slog.Logger
 
 	mu          sync.Mutex
-	broken      map[string][]broken      // newest broken generations, by engine
+	broken      map[string][]broken      // newest broken generations, by lifetime of the engine
 	cases       map[Key][]heldCase       // in the order of their ends
 	completions map[Key]time.Duration    // last completion by this process
 	blamed      map[Key]time.Duration    // end of the quarantine
+	undecided   bool                     // a part would be blamed if there was a completion
 	served      map[string]time.Duration // last completion by this process, by group
 }
 
@@ -129,8 +130,8 @@
 
 // Broken records that an engine has broken off a generation that was sent to it at the
 // given time. It counts only if Ended is called soon after.
-func (q *Quarantiner) Broken(engine, group string, parts []radishspoke.PromptPart, sent time.Duration) {
-	keys := keysOf(group, parts)
+func (q *Quarantiner) Broken(t radishspoke.Instance, parts []radishspoke.PromptPart, sent time.Duration) {
+	engine, keys := t.Lifetime(), keysOf(t.Group, parts)
 	if keys == nil {
 		return
 	}
@@ -143,7 +144,8 @@
 
 // Ended records that an engine has ended. The generations on it that broke off shortly
 // before become cases.
-func (q *Quarantiner) Ended(engine string) {
+func (q *Quarantiner) Ended(t radishspoke.Instance) {
+	engine := t.Lifetime()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
@@ -163,7 +165,7 @@
 func (q *Quarantiner) Completed(group string, parts []radishspoke.PromptPart) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now, changed := q.clock.Now(), false
+	now, changed := q.clock.Now(), q.undecided
 	q.served[group] = now
 	for _, k := range keysOf(group, parts) {
 		if _, known := q.completions[k]; !known && len(q.completions) >= maxCompletions {
@@ -185,7 +187,7 @@
 func (q *Quarantiner) Keep(list []radishspoke.Instance) {
 	listed := make(map[string]bool, len(list))
 	for _, i := range list {
-		listed[i.ID] = true
+		listed[i.Lifetime()] = true
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -44,9 +44,9 @@
 // ago by the process.
 func (f *fleet) end(process int, running time.Duration, prompts ...[]radishspoke.PromptPart) {
 	f.engines++
-	engine := fmt.Sprintf("e%d", f.engines)
+	engine := radishspoke.Instance{ID: fmt.Sprintf("e%d", f.engines), Group: group}
 	for _, p := range prompts {
-		f.processes[process].Broken(engine, group, p, f.clock.At-running)
+		f.processes[process].Broken(engine, p, f.clock.At-running)
 	}
 	f.processes[process].Ended(engine)
 }
@@ -104,6 +104,22 @@
 	c.Assert(f.refuses(0, bad), qt.IsFalse)
 }
 
+// Guards against ends that count once because the engine starts again with its id.
+func TestSameEngineAgain(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(1)
+	bad := prompt("first", "bad")
+	for k := range 3 {
+		f.clock.At += step
+		engine := radishspoke.Instance{ID: "e", Group: group, StartTime: time.UnixMilli(int64(k))}
+		f.processes[0].Broken(engine, bad, f.clock.At-running)
+		f.processes[0].Ended(engine)
+		f.clock.At += step
+		f.processes[0].Completed(group, prompt("first"))
+	}
+	c.Assert(f.refuses(0, bad), qt.IsTrue)
+}
+
 // Guards against the quarantine of a sound part when several engines fail at one moment.
 func TestEndsAtOneMomentCountOnce(t *testing.T) {
 	c := qt.New(t)
@@ -240,12 +256,12 @@
 		fifth := time.Duration(0) // time of the fifth end on the bad part
 		fail := func(k int) {
 			id++
-			name := fmt.Sprintf("r%d", id)
+			engine := radishspoke.Instance{ID: fmt.Sprintf("r%d", id), Group: group}
 			for _, g := range load[k] {
-				f.processes[g.process].Broken(name, group, g.parts, g.sent)
+				f.processes[g.process].Broken(engine, g.parts, g.sent)
 			}
 			for _, g := range load[k] {
-				f.processes[g.process].Ended(name)
+				f.processes[g.process].Ended(engine)
 			}
 			load[k], down[k] = nil, f.clock.At+repair
 		}
--- a/routing.go
+++ b/routing.go
@@ -1,6 +1,9 @@
 package radishspoke
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Repeatability tells whether a request may be executed more than once.
 type Repeatability int
@@ -129,6 +132,11 @@
 	StartTime time.Time `json:"Born"` // start of the run
 }
 
+// Lifetime identifies one run of the instance, which may start again with its ID.
+func (i Instance) Lifetime() string {
+	return i.ID + "@" + strconv.FormatInt(i.StartTime.UnixMilli(), 10)
+}
+
 // GenerationInfo holds the model and the sizes that a generation request
 // states.
 type GenerationInfo struct {
