Blame parts on which engines end while they read prompts, too

Cause: a prefill that an engine breaks off is no attempt, so that one request went on to all prefill engines, each of which could end on it, and nothing was held against its parts. Change: prefills that break off without an answer are evidence like generations, directly and through a sidecar, and a request that three engines have broken off is given up. Evidence: TestPartThatCrashesPrefillEngines failed before (sound requests find no prefill engine) and passes three times with the race detector.

--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -168,7 +168,7 @@
 			return prefillPlan{handle: h, prefillID: t.ID, zone: t.Zone}, nil
 		}
 		endTurn(0)
-		if d.decide(ctx, j, false, false) == finished {
+		if j.breaks >= maxBreaks || d.decide(ctx, j, false, false) == finished {
 			return prefillPlan{}, d.failure(j, "engine", reason)
 		}
 	}
@@ -215,6 +215,9 @@
 	default:
 		d.Router.End(t.ID, newReport(ctx, nil, err))
 		d.Targets.CloseIdle(t.Address)
+		if ctx.Err() == nil {
+			d.handleBreak(j, t, began, err)
+		}
 		// The prefill would have taken longer still.
 		d.Estimator.ObservePrefill(j.group.Name, t.ID, p.Tokens, d.Clock.Now()-began)
 	}
--- a/coordination/fleetdispatcher/job.go
+++ b/coordination/fleetdispatcher/job.go
@@ -36,6 +36,7 @@
 	mayHaveRun bool            // a target may have run the request
 	counted    bool            // the request is counted as begun
 	attempts   int             // number of attempts in which a target may have run the request
+	breaks     int             // number of engines that have broken the request off
 	visited    string          // comma-separated ids of the targets, for the log
 
 	unreachable bool // the prompt cannot be prefilled before the deadline
--- a/coordination/fleetdispatcher/quarantine.go
+++ b/coordination/fleetdispatcher/quarantine.go
@@ -38,9 +38,14 @@
 	return notRunFailure(http.StatusServiceUnavailable, "quarantine", message, after)
 }
 
+// maxBreaks is the number of engines that may break one request off. Attempts do not
+// bound it, because a prefill is none.
+const maxBreaks = 3
+
 // handleBreak handles a generation or a prefill, sent to an engine at the given time, that
 // the engine has broken off.
 func (d *Dispatcher) handleBreak(j *job, t radishspoke.Instance, sent time.Duration, reason error) {
+	j.breaks++
 	var ids []string
 	for _, p := range j.incoming.Generation.Parts {
 		ids = append(ids, p.ID)
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -123,6 +123,12 @@
 	case errors.Is(err, relayer.ErrNotPrefilled):
 		d.Router.End(t.ID, fleetrouter.Report{Inconclusive: true})
 		delete(j.excluded, t.ID)
+		if errors.Is(err, relayer.ErrNoResponse) && ctx.Err() == nil {
+			d.handleBreak(j, *plan.relay, sent, err)
+		}
+		if j.breaks >= maxBreaks {
+			return finished, err.Error()
+		}
 		return d.decide(ctx, j, false, timer.charged.Load()), err.Error()
 	case errors.Is(err, httpclient.ErrNotSent):
 		d.Router.End(t.ID, plan.newReport(ctx, nil, err, 0))
