Give up a request while which three targets have failed

Cause: an idempotent request moved on to the next engine for as long as retries and time were left, also if each engine failed while it ran the request. Change: after three targets that failed while they ran it, the request is answered as failed, with an unknown outcome.

--- a/coordination/dispatcher/attempt.go
+++ b/coordination/dispatcher/attempt.go
@@ -26,6 +26,14 @@
 // errDraining wraps errTryAnother: the target takes no new requests.
 var errDraining = fmt.Errorf("target drains: %w", errTryAnother)
 
+// errRunFailed wraps errTryAnother: the target failed after it had begun to run the
+// request.
+var errRunFailed = fmt.Errorf("target failed while it ran the request: %w", errTryAnother)
+
+// maxFailedRuns is the number of targets that may fail while they run one request. The
+// request itself may be the cause.
+const maxFailedRuns = 3
+
 // errStreamLost means that the answer's stream broke or was inconsistent before
 // the end of the answer.
 var errStreamLost = errors.New("answer's stream was lost")
@@ -62,6 +70,15 @@
 			d.markDraining(c.Target.Name)
 			continue
 		}
+		if errors.Is(err, errRunFailed) {
+			j.failedRuns++
+		}
+		if j.failedRuns >= maxFailedRuns {
+			return &radishspoke.Failure{
+				Outcome: j.outcome(), Status: http.StatusBadGateway, Code: "target_failed",
+				Message: fmt.Sprintf("%d targets have failed while they ran the request", j.failedRuns),
+			}
+		}
 		if !d.retries.Retry() {
 			return &radishspoke.Failure{
 				Outcome: j.outcome(), Status: http.StatusServiceUnavailable, Code: "retries_used_up",
@@ -349,8 +366,11 @@
 	if notRun && f.Draining {
 		return fmt.Errorf("%w: %s", errDraining, f.Reason)
 	}
-	if f.Elsewhere && (notRun || j.request.Route.Idempotent) {
+	if f.Elsewhere && notRun {
 		return fmt.Errorf("%w: %s", errTryAnother, f.Reason)
 	}
+	if f.Elsewhere && j.request.Route.Idempotent {
+		return fmt.Errorf("%w: %s", errRunFailed, f.Reason)
+	}
 	return &radishspoke.Failure{Outcome: j.outcome(), Status: http.StatusBadGateway, Code: "target_failed", Message: f.Reason}
 }
--- a/coordination/dispatcher/job.go
+++ b/coordination/dispatcher/job.go
@@ -37,6 +37,8 @@
 	headSent bool
 	usage    radishspoke.Usage
 
+	failedRuns int // number of targets that have failed while they ran the request
+
 	// started is set once a target may have begun to run the request.
 	started bool
 
