Send nothing to a target that says in its answers that it leaves

Cause: a leaving target was known from the list of targets only, which tells later, and not at all while the store is away. Change: package avoider keeps what targets say. The client of targets tells it of each answer, refusals, prefills and informational responses included, and the router leaves such targets out: for prompts, streams, plain requests and as sources of cached parts. Prompts that wait are placed elsewhere, as for listed ones. A sidecar keeps its own, and refuses orders for such engines before anything is sent. It holds until another lifetime is listed.

--- /dev/null
+++ b/coordination/avoider/avoider.go
@@ -0,0 +1,80 @@
+package avoider
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"radishspoke"
+	"radishspoke/platform"
+)
+
+// maxAge is the time after which what a target that is not listed any more has said is
+// forgotten.
+const maxAge = 10 * time.Minute
+
+// target is what one target has said.
+type target struct {
+	lifetime string // as listed when it said so; empty if it was not listed
+	leaving  bool
+	at       time.Duration // time of the newest answer that said something
+}
+
+// Avoider keeps the targets to avoid. It is safe for concurrent use. Create it with New.
+type Avoider struct {
+	clock radishspoke.Clock
+
+	mu        sync.Mutex
+	lifetimes map[string]string  // of the listed instances, by id
+	targets   map[string]*target // by instance id
+}
+
+// New returns an Avoider without targets.
+func New(c radishspoke.Clock) *Avoider {
+	return &Avoider{clock: c, lifetimes: map[string]string{}, targets: map[string]*target{}}
+}
+
+// Observe records what the answer to a request for the instance with the given id says. A
+// misdirected request was answered by another instance, whose answer is ignored.
+func (a *Avoider) Observe(id string, status int, h http.Header) {
+	answer := platform.DecodeAnswer(status, h)
+	if id == "" || status == http.StatusMisdirectedRequest || !answer.Leaving {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t, ok := a.targets[id]
+	if !ok {
+		t = &target{}
+		a.targets[id] = t
+	}
+	t.lifetime, t.leaving, t.at = a.lifetimes[id], true, a.clock.Now()
+}
+
+// Avoids reports whether a target must get no requests now.
+func (a *Avoider) Avoids(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t, ok := a.targets[id]
+	return ok && t.leaving
+}
+
+// Keep forgets what previous lifetimes of the listed instances have said.
+func (a *Avoider) Keep(list []radishspoke.Instance) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lifetimes = make(map[string]string, len(list))
+	for _, i := range list {
+		a.lifetimes[i.ID] = i.Lifetime()
+	}
+	now := a.clock.Now()
+	for id, t := range a.targets {
+		lifetime, listed := a.lifetimes[id]
+		if t.lifetime == "" {
+			t.lifetime = lifetime
+		}
+		if listed && lifetime != t.lifetime || !listed && now-t.at > maxAge {
+			delete(a.targets, id)
+		}
+	}
+}
--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -112,6 +112,12 @@
 	BeginStream(group string, tokens int) (end func())
 }
 
+// Avoider learns from answers that other processes have passed on which targets must get
+// no requests. See avoider.Avoider.
+type Avoider interface {
+	Observe(id string, status int, h http.Header)
+}
+
 // Targets sends calls to targets.
 type Targets interface {
 	Do(ctx context.Context, address string, c *httpclient.Call) (*httpclient.Response, error)
@@ -150,6 +156,7 @@
 	Estimator    Estimator
 	Forecaster   Forecaster
 	Quarantine   Quarantine
+	Avoider      Avoider
 	Targets      Targets
 	Recorder     Recorder
 	Shutdown     Shutdown
--- a/coordination/fleetdispatcher/relay.go
+++ b/coordination/fleetdispatcher/relay.go
@@ -57,5 +57,6 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	d.Avoider.Observe(plan.decoder.ID, a.Status, a.Header)
 	return &reply{Response: a, AnswerHeader: platform.DecodeAnswer(a.Status, a.Header), framing: out.Framing}, out.ResponseTime, nil
 }
--- a/coordination/fleetrouter/fleetrouter.go
+++ b/coordination/fleetrouter/fleetrouter.go
@@ -34,6 +34,12 @@
 	Total(group string) forecaster.Load
 }
 
+// Avoided tells which targets must get no requests from this process. See
+// avoider.Avoider.
+type Avoided interface {
+	Avoids(id string) bool
+}
+
 // Settings holds the parameters of a Router. A zero value selects the default.
 type Settings struct {
 	Zone string // availability zone of this process
@@ -97,6 +103,7 @@
 	timings  Timings
 	parts    Parts
 	loads    Loads
+	avoided  Avoided
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -105,9 +112,9 @@
 }
 
 // New returns a Router without targets.
-func New(s Settings, c radishspoke.Clock, r *rand.Rand, t Timings, p Parts, l Loads) *Router {
+func New(s Settings, c radishspoke.Clock, r *rand.Rand, t Timings, p Parts, l Loads, a Avoided) *Router {
 	s.setDefaults()
-	return &Router{settings: s, clock: c, timings: t, parts: p, loads: l, random: r, targets: map[string]*target{}, groups: map[string][]*target{}}
+	return &Router{settings: s, clock: c, timings: t, parts: p, loads: l, avoided: a, random: r, targets: map[string]*target{}, groups: map[string][]*target{}}
 }
 
 // SetTargets replaces the targets. A target that is already known with the
@@ -132,7 +139,7 @@
 }
 
 // DecodeSaturated reports whether a group has decode engines and all of them are
-// ejected, so that prefilling a prompt would be wasted work.
+// ejected or avoided, so that prefilling a prompt would be wasted work.
 func (r *Router) DecodeSaturated(group string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -142,7 +149,7 @@
 		if t.Role != radishspoke.DecodeRole {
 			continue
 		}
-		if now >= t.ejectedUntil {
+		if now >= t.ejectedUntil && !r.avoided.Avoids(t.ID) {
 			return false
 		}
 		decodeEngines++
@@ -150,12 +157,13 @@
 	return decodeEngines > 0
 }
 
-// Leaving reports whether a target is shutting down or is not listed any more.
+// Leaving reports whether a target is shutting down, is not listed any more, or must be
+// avoided.
 func (r *Router) Leaving(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t, ok := r.targets[id]
-	return !ok || t.Instance.Leaving
+	return !ok || t.Instance.Leaving || r.avoided.Avoids(id)
 }
 
 // PickDecode returns the engine that generates an answer after another engine,
@@ -237,15 +245,16 @@
 	return best.Instance, nil
 }
 
-// usable returns the targets of a group and role that are neither excluded nor
+// usable returns the targets of a group and role that are neither excluded nor avoided nor
 // ejected nor paused after lost KV caches. If there are none, it returns the target
-// that becomes usable first, unless all are excluded.
+// that becomes usable first, unless all are excluded
+// or avoided.
 func (r *Router) usable(group string, role radishspoke.Role, exclude map[string]bool) []*target {
 	now := r.clock.Now()
 	var out []*target
 	var first *target
 	for _, t := range r.groups[group] {
-		if t.Role != role || exclude[t.ID] {
+		if t.Role != role || exclude[t.ID] || r.avoided.Avoids(t.ID) {
 			continue
 		}
 		// After an ejection, one request at a time probes the target until one
--- a/coordination/fleetrouter/fleetrouter_test.go
+++ b/coordination/fleetrouter/fleetrouter_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"radishspoke"
+	"radishspoke/coordination/avoider"
 	"radishspoke/coordination/estimator"
 	"radishspoke/coordination/fleetrouter"
 	"radishspoke/coordination/forecaster"
@@ -42,7 +43,7 @@
 		times.ObservePrefill("g", "trained", tokens, time.Duration(float64(tokens)/406_000*float64(time.Second)))
 		times.ObserveTransfer("g", 2*ms, ms)
 	}
-	r := fleetrouter.New(fleetrouter.Settings{Zone: zone}, clock, rand.New(rand.NewPCG(seed, 1)), times, locator.New(locator.Settings{}, clock), forecaster.New(clock))
+	r := fleetrouter.New(fleetrouter.Settings{Zone: zone}, clock, rand.New(rand.NewPCG(seed, 1)), times, locator.New(locator.Settings{}, clock), forecaster.New(clock), avoider.New(clock))
 	r.SetTargets(list)
 	return r, clock
 }
--- a/coordination/fleetrouter/prefill.go
+++ b/coordination/fleetrouter/prefill.go
@@ -142,7 +142,7 @@
 // source returns an engine other than t that holds the shared parts, or nil.
 func (c *prefillChoice) source(t *target) *target {
 	for _, id := range c.holders {
-		if s, ok := c.router.targets[id]; ok && s != t && !c.exclude[id] && s.failures == 0 {
+		if s, ok := c.router.targets[id]; ok && s != t && !c.exclude[id] && s.failures == 0 && !c.router.avoided.Avoids(id) {
 			return s
 		}
 	}
--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -75,6 +75,7 @@
 type Relayer struct {
 	settings  Settings
 	targets   Targets
+	avoided   Avoided
 	sequencer *sequencer.Sequencer
 	clock     radishspoke.Clock
 	log       *slog.Logger
@@ -82,13 +83,19 @@
 	running   atomic.Int64
 }
 
+// Avoided tells which targets must get no requests from this process. See
+// avoider.Avoider.
+type Avoided interface {
+	Avoids(id string) bool
+}
+
 // New returns a Relayer for the prefill engine at s.Engine.
-func New(s Settings, t Targets, c radishspoke.Clock, log *slog.Logger) *Relayer {
+func New(s Settings, t Targets, a Avoided, c radishspoke.Clock, log *slog.Logger) *Relayer {
 	if s.Window == 0 {
 		s.Window = defaultWindow
 	}
 	return &Relayer{
-		settings: s, targets: t, clock: c, log: log,
+		settings: s, targets: t, avoided: a, clock: c, log: log,
 		sequencer: sequencer.New(sequencer.Settings{Window: s.Window}, c),
 	}
 }
@@ -138,6 +145,11 @@
 		r.writeFailure(w, o.ID, outcomeUnreachable, "too late to start")
 		return
 	}
+	if r.avoided.Avoids(o.DecodeEngine) {
+		ReleaseHandle(r.targets, h, r.log)
+		r.writeFailure(w, o.ID, outcomeNotSent, "the decode engine takes no requests")
+		return
+	}
 	w.WriteHeader(statusForwarded)
 	r.generate(ctx, w, q, o, h, arrived)
 }
@@ -152,6 +164,11 @@
 		r.writeFailure(w, o.ID, outcomeUnreachable, err.Error())
 		return nil, false
 	}
+	if r.avoided.Avoids(o.PrefillEngine) { // since the order was queued
+		done(0)
+		r.writeFailure(w, o.ID, outcomeNotPrefilled, "the prefill engine takes no requests")
+		return nil, false
+	}
 	began := r.clock.Now()
 	c := o.Call(platform.TargetHeader{Instance: o.PrefillEngine, Remaining: arrived + o.Deadline - began, PrefillOnly: true, FetchFrom: o.FetchFrom})
 	h, a, err := Prefill(ctx, r.targets, r.settings.Engine, c, o.PrefillTimeout)
--- a/coordination/relayer/request.go
+++ b/coordination/relayer/request.go
@@ -32,7 +32,7 @@
 		o.LastEvent = r.LastEvent
 	}
 	return &httpclient.Call{
-		Method: r.Method, RequestURI: r.Target, Host: r.Host, Header: platform.EncodeTargetHeader(r.Header, o), Body: r.Body,
+		Method: r.Method, RequestURI: r.Target, Host: r.Host, Header: platform.EncodeTargetHeader(r.Header, o), Body: r.Body, Instance: o.Instance,
 		Matches: r.owns,
 	}
 }
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -17,6 +17,7 @@
 
 	"radishspoke"
 	"radishspoke/coordination/authenticator"
+	"radishspoke/coordination/avoider"
 	"radishspoke/coordination/biller"
 	"radishspoke/coordination/elector"
 	"radishspoke/coordination/estimator"
@@ -63,6 +64,7 @@
 	elector        *elector.Elector
 	storeTime      *timekeeper.Timekeeper
 	quarantiner    *quarantiner.Quarantiner
+	avoider        *avoider.Avoider
 	recorder       *recorder.Recorder
 	retries        *retryBudgets
 	peerRandom     *rand.Rand // chooses the peer to ask; used by one goroutine only
@@ -150,11 +152,12 @@
 	e.locator = locator.New(locator.Settings{}, clock)
 	e.forecaster = forecaster.New(clock)
 	e.quarantiner = quarantiner.New(quarantiner.Settings{}, clock, env.Log)
+	e.avoider = avoider.New(clock)
 	e.dividers = map[string]*planner.Divider{}
-	e.router = fleetrouter.New(fleetrouter.Settings{Zone: s.Zone}, clock, rand.New(rand.NewPCG(env.Seed, 1)), e.estimator, e.locator, e.forecaster)
+	e.router = fleetrouter.New(fleetrouter.Settings{Zone: s.Zone}, clock, rand.New(rand.NewPCG(env.Seed, 1)), e.estimator, e.locator, e.forecaster, e.avoider)
 	e.peerRandom = rand.New(rand.NewPCG(env.Seed, 2))
 	e.sequencer = sequencer.New(sequencer.Settings{}, clock)
-	e.targetClient = httpclient.New(httpclient.Settings{}, env.Network, clock)
+	e.targetClient = httpclient.New(httpclient.Settings{OnAnswer: observeAnswer(e.avoider)}, env.Network, clock)
 	e.sidecarClient = httpclient.New(httpclient.Settings{IdleTimeout: sidecarIdleTimeout, DialTimeout: sidecarDialTimeout}, env.Network, clock)
 	e.relayClient = relayer.NewClient(relayer.ClientSettings{Port: s.FirstPort + relayPort, Link: s.Link}, e.sidecarClient, clock, env.Log)
 	e.watcher = fleetwatcher.New(fleetwatcher.Settings{}, e.platformClient, clock, e.mustWatch, env.Log, e.setConfiguration, e.setInstances)
@@ -175,7 +178,7 @@
 	e.gossiper = gossiper.New(gossiper.Settings{Process: s.Name, Address: address}, e.table, conn, clock, env.Log, e.fillGossip, e.handleGossip)
 	f := fleetdispatcher.New(fleetdispatcher.Dependencies{
 		Tables: e.watcher, Keys: e.auth, KeyTrust: e, RateLimiter: e.limiter, RetryBudgets: e.retries, Usage: e.biller, Router: e.router,
-		PromptQueue: e.sequencer, RelayClient: e.relayClient, Estimator: e.estimator, Forecaster: e.forecaster, Quarantine: e.quarantiner, Targets: e.targetClient, Shutdown: e, Recorder: e.recorder, Clock: clock, Log: env.Log,
+		PromptQueue: e.sequencer, RelayClient: e.relayClient, Estimator: e.estimator, Forecaster: e.forecaster, Quarantine: e.quarantiner, Avoider: e.avoider, Targets: e.targetClient, Shutdown: e, Recorder: e.recorder, Clock: clock, Log: env.Log,
 	})
 	logger := slog.NewLogLogger(env.Log.Handler(), slog.LevelDebug)
 	e.callerServer = &http.Server{
@@ -313,10 +316,17 @@
 	e.locator.Keep(l)
 	e.sequencer.Keep(l)
 	e.quarantiner.Keep(l)
+	e.avoider.Keep(l)
 	e.router.SetTargets(l)
 	e.relayClient.SetEngines(l)
 }
 
+// observeAnswer returns a callback of an httpclient.Client that records what targets say
+// in their answers.
+func observeAnswer(a *avoider.Avoider) func(*httpclient.Call, int, http.Header) {
+	return func(c *httpclient.Call, status int, h http.Header) { a.Observe(c.Instance, status, h) }
+}
+
 // limitPeers returns the entries with which this one shares the teams' limits.
 func (e *FleetEntry) limitPeers() []fleetlimiter.Peer {
 	list := e.gossiper.Peers()
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"radishspoke"
+	"radishspoke/coordination/avoider"
 	"radishspoke/coordination/planner"
 	"radishspoke/coordination/relayer"
 	"radishspoke/platform"
@@ -35,6 +36,7 @@
 	settings       platform.Settings
 	env            Environment
 	engineClient   *httpclient.Client
+	avoider        *avoider.Avoider
 	watcher        *fleetwatcher.Watcher
 	started        time.Duration
 	lastNotified   atomic.Int64 // clock time of the last notification from an entry, in ns
@@ -107,7 +109,8 @@
 // or 0 to serve none. An error is returned if the port for notifications cannot
 // be opened.
 func NewFleetSidecar(s platform.Settings, env Environment, metricsPort int) (*FleetSidecar, error) {
-	d := &FleetSidecar{prefillShares: map[string]float64{}, settings: s, env: env, started: env.Clock.Now(), engineClient: httpclient.New(httpclient.Settings{}, env.Network, env.Clock)}
+	d := &FleetSidecar{prefillShares: map[string]float64{}, settings: s, env: env, started: env.Clock.Now(), avoider: avoider.New(env.Clock)}
+	d.engineClient = httpclient.New(httpclient.Settings{OnAnswer: observeAnswer(d.avoider)}, env.Network, env.Clock)
 	client := platform.New(s, env.Network, env.Clock)
 	d.watcher = fleetwatcher.New(fleetwatcher.Settings{Interval: listInterval}, client, env.Clock, d.mustPoll, env.Log,
 		func(*radishspoke.RoutingTable) {}, d.setInstances)
@@ -116,7 +119,7 @@
 		return nil, fmt.Errorf("listen for datagrams: %w", err)
 	}
 	d.udpConn = conn
-	d.relayer = relayer.New(relayer.Settings{Engine: s.Engine}, d.engineClient, env.Clock, env.Log)
+	d.relayer = relayer.New(relayer.Settings{Engine: s.Engine}, d.engineClient, d.avoider, env.Clock, env.Log)
 	d.relayServer = &http.Server{
 		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort+relayPort)), Handler: d.relayer, ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: serverIdleTimeout, ErrorLog: slog.NewLogLogger(env.Log.Handler(), slog.LevelDebug),
@@ -234,6 +237,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.instances = list
+	d.avoider.Keep(list)
 }
 
 // planLoop plans the role of the engine periodically, and orders the engine to
--- a/transport/httpclient/httpclient.go
+++ b/transport/httpclient/httpclient.go
@@ -43,6 +43,10 @@
 	// 700 ms, which is less than the 1 s after which TCP retransmits a lost
 	// SYN packet.
 	DialTimeout time.Duration
+
+	// OnAnswer, if it is not nil, is called with the status and headers of each
+	// response that belongs to a call, informational ones included, before Do returns.
+	OnAnswer func(c *Call, status int, h http.Header)
 }
 
 const (
@@ -90,6 +94,10 @@
 	Header     http.Header
 	Body       []byte
 
+	// Instance is the id of the target's instance, for Settings.OnAnswer. It is empty if
+	// the call is not for a particular instance.
+	Instance string
+
 	// OnInterim is called with the status and headers of each informational (1xx)
 	// response, if it is not nil.
 	OnInterim func(status int, h http.Header)
@@ -321,6 +329,7 @@
 			return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 		}
 		if r.StatusCode >= http.StatusContinue && r.StatusCode < http.StatusOK {
+			c.observe(call, r)
 			if call.OnInterim != nil {
 				call.OnInterim(r.StatusCode, r.Header)
 			}
@@ -328,6 +337,7 @@
 			continue
 		}
 		if call.Matches == nil || call.Matches(r.StatusCode, r.Header) {
+			c.observe(call, r)
 			eventreader.Check(r)
 			return &Response{Status: r.StatusCode, Header: r.Header, Framing: framingOf(r), conn: conn, response: r, writeDone: writeDone}, nil
 		}
@@ -339,6 +349,13 @@
 	return nil, fmt.Errorf("%w: only answers to other requests, or interim ones", ErrNoResponse)
 }
 
+// observe calls Settings.OnAnswer.
+func (c *Client) observe(call *Call, r *http.Response) {
+	if c.settings.OnAnswer != nil {
+		c.settings.OnAnswer(call, r.StatusCode, r.Header)
+	}
+}
+
 // framingOf returns the framing of the body of a response.
 func framingOf(r *http.Response) Framing {
 	switch {
