Keep the pauses that targets ask for in their refusals

Cause: a 503 with Retry-After, new on the platform's pages, was like any other refusal: the target got the next request, and callers were told a time that nobody had stated. If all targets of a group or role have asked for a pause, callers are refused at once with the time until the first wants requests.

--- a/coordination/avoider/avoider.go
+++ b/coordination/avoider/avoider.go
@@ -17,6 +17,7 @@
 type target struct {
 	lifetime string // as listed when it said so; empty if it was not listed
 	leaving  bool
+	paused   time.Duration // end of the pause
 	at       time.Duration // time of the newest answer that said something
 }
 
@@ -38,7 +39,7 @@
 // misdirected request was answered by another instance, whose answer is ignored.
 func (a *Avoider) Observe(id string, status int, h http.Header) {
 	answer := platform.DecodeAnswer(status, h)
-	if id == "" || status == http.StatusMisdirectedRequest || !answer.Leaving {
+	if id == "" || status == http.StatusMisdirectedRequest || !answer.Leaving && answer.Pause == 0 {
 		return
 	}
 	a.mu.Lock()
@@ -48,7 +49,11 @@
 		t = &target{}
 		a.targets[id] = t
 	}
-	t.lifetime, t.leaving, t.at = a.lifetimes[id], true, a.clock.Now()
+	now := a.clock.Now()
+	t.lifetime, t.leaving, t.at = a.lifetimes[id], t.leaving || answer.Leaving, now
+	if answer.Pause > 0 {
+		t.paused = max(t.paused, now+answer.Pause)
+	}
 }
 
 // Avoids reports whether a target must get no requests now.
@@ -56,7 +61,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t, ok := a.targets[id]
-	return ok && t.leaving
+	return ok && (t.leaving || a.clock.Now() < t.paused)
+}
+
+// Pause returns the rest of the pause that a target has asked for. It returns false if
+// there is none, or if the target leaves.
+func (a *Avoider) Pause(id string) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t, ok := a.targets[id]
+	if !ok || t.leaving {
+		return 0, false
+	}
+	left := t.paused - a.clock.Now()
+	return left, left > 0
 }
 
 // Keep forgets what previous lifetimes of the listed instances have said.
@@ -73,7 +91,7 @@
 		if t.lifetime == "" {
 			t.lifetime = lifetime
 		}
-		if listed && lifetime != t.lifetime || !listed && now-t.at > maxAge {
+		if listed && lifetime != t.lifetime || !listed && now-t.at > maxAge || !t.leaving && now >= t.paused {
 			delete(a.targets, id)
 		}
 	}
--- a/coordination/fleetdispatcher/failure.go
+++ b/coordination/fleetdispatcher/failure.go
@@ -51,6 +51,15 @@
 	return unknownFailure(http.StatusBadGateway, code, message)
 }
 
+// noTarget returns the failure of a job for which no target of a role, or of any role if it
+// is empty, can be chosen.
+func (d *Dispatcher) noTarget(j *job, role radishspoke.Role, code, message string) *radishspoke.Failure {
+	if after, ok := d.Router.Pause(j.group.Name, role); ok && !j.mayHaveRun {
+		return notRunFailure(http.StatusServiceUnavailable, code, "all targets have asked for a pause", after)
+	}
+	return d.failure(j, code, message)
+}
+
 // writeFailure answers a request with a failure.
 func (d *Dispatcher) writeFailure(w http.ResponseWriter, j *job, fail *radishspoke.Failure) {
 	h := w.Header()
--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -77,6 +77,7 @@
 	PickPlain(group string, exclude map[string]bool) (radishspoke.Instance, error)
 	DecodeSaturated(group string) bool
 	Leaving(target string) bool
+	Pause(group string, role radishspoke.Role) (time.Duration, bool)
 	Begin(target string)
 	End(target string, r fleetrouter.Report)
 }
--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -74,7 +74,7 @@
 			t, err := d.pickDecode(j, p)
 			if err != nil {
 				relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
-				return d.failure(j, "engine", lastReason+": "+err.Error())
+				return d.noTarget(j, radishspoke.DecodeRole, "engine", lastReason+": "+err.Error())
 			}
 			p.decoder = &t
 		}
@@ -127,12 +127,12 @@
 	}
 	firstEvent := d.Estimator.Timing(j.group.Name).FirstEvent
 	if d.Router.DecodeSaturated(j.group.Name) {
-		return prefillPlan{}, d.failure(j, "engine", "no engine takes another answer now")
+		return prefillPlan{}, d.noTarget(j, radishspoke.DecodeRole, "engine", "no engine takes another answer now")
 	}
 	for {
 		p, err := d.Router.PickPrefill(j.group, j.incoming.Generation, d.expectedWait, j.startBy-d.Clock.Now()-firstEvent, j.excluded)
 		if err != nil {
-			return prefillPlan{}, d.failure(j, "engine", err.Error())
+			return prefillPlan{}, d.noTarget(j, "", "engine", err.Error())
 		}
 		t := p.Engine
 		if t.Role == radishspoke.PrefillRole && !j.noRelay && d.RelayClient.Worthwhile(t.ID, len(j.body)) {
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -86,7 +86,7 @@
 	for {
 		t, err := d.Router.PickPlain(j.group.Name, j.excluded)
 		if err != nil {
-			return d.failure(j, "target", lastReason+": "+err.Error())
+			return d.noTarget(j, "", "target", lastReason+": "+err.Error())
 		}
 		if fail := d.checkKey(j); fail != nil {
 			return fail
--- a/coordination/fleetrouter/fleetrouter.go
+++ b/coordination/fleetrouter/fleetrouter.go
@@ -38,6 +38,7 @@
 // avoider.Avoider.
 type Avoided interface {
 	Avoids(id string) bool
+	Pause(id string) (time.Duration, bool)
 }
 
 // Settings holds the parameters of a Router. A zero value selects the default.
@@ -157,6 +158,27 @@
 	return decodeEngines > 0
 }
 
+// Pause returns the time until the first target of a group and role, or of any role if it
+// is empty, wants requests again. It returns false if there is a target that can be used
+// now, or none that has asked for a pause.
+func (r *Router) Pause(group string, role radishspoke.Role) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	least, found := time.Duration(0), false
+	for _, t := range r.groups[group] {
+		if role != "" && t.Role != role {
+			continue
+		}
+		if !r.avoided.Avoids(t.ID) {
+			return 0, false
+		}
+		if left, ok := r.avoided.Pause(t.ID); ok && (!found || left < least) {
+			least, found = left, true
+		}
+	}
+	return least, found
+}
+
 // Leaving reports whether a target is shutting down, is not listed any more, or must be
 // avoided.
 func (r *Router) Leaving(id string) bool {
