Have engines of the soak end on a part of prompts

Change: from a random moment on, a tenth of the long prompts has a part on which engines end: the listener is closed, connections are reset, and another instance starts after a second. The check is that of the rule: at most three such requests reach engines, sent through entries that were not disturbed in the last 3 s, later than 3 s after the fifth end.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -169,6 +169,10 @@
 	if k.longPrompt {
 		h.Generation.Prompt = sharedPrefixTokens + uniqueSuffixTokens
 		h.Generation.Parts = []radishspoke.PromptPart{{ID: "shared", Tokens: sharedPrefixTokens}, {ID: id, Tokens: uniqueSuffixTokens}}
+		if c.soak.badPart.draw(c.random) {
+			h.Generation.Parts = []radishspoke.PromptPart{{ID: "shared", Tokens: sharedPrefixTokens - 1}, {ID: badPart, Tokens: 1}, {ID: id, Tokens: uniqueSuffixTokens}}
+			c.soak.badPart.recordSent(id, c.entry)
+		}
 	}
 	header := platform.EncodeRequest(h)
 	platform.ForgeTeam(header, "forged")
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -32,6 +32,8 @@
 	exitRequested bool          // SIGTERM or SIGKILL was sent
 	terminating   bool          // SIGTERM was sent; the process must exit without an error
 	disturbedAt   time.Time     // last kill, pause or resume; requests may fail around it
+	startedAt     time.Time
+	terminatedAt  time.Time // last SIGTERM
 	paused        bool
 	starts        int
 	ready         bool
@@ -69,6 +71,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.starts++
+	p.startedAt = time.Now()
 	log, err := os.OpenFile(filepath.Join(p.soak.directory, p.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "open log file")
@@ -116,7 +119,7 @@
 	case syscall.SIGKILL:
 		p.exitRequested, p.terminating, p.disturbedAt = true, false, time.Now()
 	case syscall.SIGTERM:
-		p.exitRequested, p.terminating = true, true
+		p.exitRequested, p.terminating, p.terminatedAt = true, true, time.Now()
 	case syscall.SIGSTOP:
 		p.paused, p.disturbedAt = true, time.Now()
 	case syscall.SIGCONT:
--- a/internal/soaker/proxy.go
+++ b/internal/soaker/proxy.go
@@ -24,10 +24,11 @@
 // proxy is a TCP proxy on loopback that forwards connections to a server and
 // injects link faults.
 type proxy struct {
-	listener net.Listener
-	server   string
+	address string
+	server  string
 
 	mu       sync.Mutex
+	listener net.Listener
 	link     linkState
 	changed  chan struct{} // closed and replaced when link changes
 	conns    map[net.Conn]bool
@@ -40,14 +41,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for a proxy")
 	}
-	p := &proxy{listener: l, server: server, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
-	go p.serve()
+	p := &proxy{address: l.Addr().String(), listener: l, server: server, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go p.serve(l)
 	return p, nil
 }
 
-func (p *proxy) serve() {
+func (p *proxy) serve(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return // closed
 		}
@@ -153,9 +154,31 @@
 	return p.link == (linkState{}) && time.Since(p.faultyAt) > d
 }
 
-// close stops the listener and resets all connections.
-func (p *proxy) close() {
+// stopListening stops the listener and resets all connections.
+func (p *proxy) stopListening() {
+	p.mu.Lock()
 	_ = p.listener.Close()
+	link := p.link
+	p.mu.Unlock()
+	p.setLink(link, true)
+}
+
+// listenAgain starts a new listener at the same address.
+func (p *proxy) listenAgain() error {
+	l, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return errors.Wrap(err, "listen again for a proxy")
+	}
+	p.mu.Lock()
+	p.listener = l
+	p.mu.Unlock()
+	go p.serve(l)
+	return nil
+}
+
+// close stops the listener, removes the faults and resets all connections.
+func (p *proxy) close() {
+	p.stopListening()
 	p.setLink(linkState{}, true)
 }
 
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -99,6 +99,7 @@
 	storeAddress string
 	recorder     *recorder
 	lag          *lagMonitor
+	badPart      badPartCheck
 	entries      []*process
 	sidecars     []*process
 	targets      []*target
@@ -283,7 +284,7 @@
 	close(stopMonitors)
 	monitors.Wait()
 	s.checkUsage()
-	r := &Report{Findings: s.recorder.evaluate(), Directory: s.directory}
+	r := &Report{Findings: append(s.recorder.evaluate(), s.badPart.evaluate()...), Directory: s.directory}
 	r.Requests, r.Served, r.Refused = len(s.recorder.requests), s.recorder.served, s.recorder.refused
 	for _, f := range r.Findings {
 		s.print("FOUND %s", f)
--- a/internal/soaker/target.go
+++ b/internal/soaker/target.go
@@ -37,6 +37,7 @@
 	handles    map[string]bool  // KV caches that have not been fetched
 	lastHandle int              // ID of the last handle
 	faulty     bool             // some responses are faulty
+	ending     bool             // it has ended and has not started again yet
 }
 
 // newTarget starts a target at an IP address. The role is empty for a plain
@@ -148,6 +149,15 @@
 	}
 	time.Sleep(pause)
 	t.checkRequest(request, body)
+	if hasBadPart(request.Parts) {
+		ends := role == radishspoke.DecodeRole && !request.PrefillOnly
+		t.soak.badPart.recordArrival(request.ID, ends)
+		if ends {
+			t.soak.recorder.addExecution(request.ID, id)
+			t.end()
+			return nil
+		}
+	}
 	switch {
 	case draw < refusalRate:
 		return notRunResponse(http.StatusServiceUnavailable)
