Use the terms of the field for parts that crash engines, and log what targets ask for

Cause: reading the change as a newcomer: "end", "case", "blame" and "judge" were words of this project only, and what a target says of leaving or pausing left no line in the log. Change: crash, quarantine and evaluate, in the code, the messages, the logs and the pages; log lines for targets that leave or ask for a pause. No decision changes.

--- a/coordination/avoider/avoider.go
+++ b/coordination/avoider/avoider.go
@@ -1,6 +1,7 @@
 package avoider
 
 import (
+	"log/slog"
 	"net/http"
 	"sync"
 	"time"
@@ -24,6 +25,7 @@
 // Avoider keeps the targets to avoid. It is safe for concurrent use. Create it with New.
 type Avoider struct {
 	clock radishspoke.Clock
+	log   *slog.Logger
 
 	mu        sync.Mutex
 	lifetimes map[string]string  // of the listed instances, by id
@@ -31,8 +33,8 @@
 }
 
 // New returns an Avoider without targets.
-func New(c radishspoke.Clock) *Avoider {
-	return &Avoider{clock: c, lifetimes: map[string]string{}, targets: map[string]*target{}}
+func New(c radishspoke.Clock, log *slog.Logger) *Avoider {
+	return &Avoider{clock: c, log: log, lifetimes: map[string]string{}, targets: map[string]*target{}}
 }
 
 // Observe records what the answer to a request for the instance with the given id says. A
@@ -50,6 +52,12 @@
 		a.targets[id] = t
 	}
 	now := a.clock.Now()
+	if answer.Leaving && !t.leaving {
+		a.log.Info("target says that it leaves", "target", id)
+	}
+	if answer.Pause > 0 && now >= t.paused {
+		a.log.Info("target asks for a pause", "target", id, "for", answer.Pause)
+	}
 	t.lifetime, t.leaving, t.at = a.lifetimes[id], t.leaving || answer.Leaving, now
 	if answer.Pause > 0 {
 		t.paused = max(t.paused, now+answer.Pause)
--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -168,12 +168,12 @@
 // Dispatcher serves the requests of callers. Create it with New.
 type Dispatcher struct {
 	Dependencies
-	endings endings
+	crashes crashDetector
 }
 
 // New returns a Dispatcher with the given dependencies.
 func New(d Dependencies) *Dispatcher {
-	return &Dispatcher{Dependencies: d, endings: endings{probing: map[string]bool{}}}
+	return &Dispatcher{Dependencies: d, crashes: crashDetector{probing: map[string]bool{}}}
 }
 
 const (
--- a/coordination/fleetdispatcher/quarantine.go
+++ b/coordination/fleetdispatcher/quarantine.go
@@ -14,24 +14,24 @@
 	"radishspoke/transport/ticker"
 )
 
-// Quarantine tells which prompts must not be sent to engines, because engines end on
+// Quarantine tells which prompts must not be sent to engines, because engines crash on
 // them. See quarantiner.Quarantiner.
 type Quarantine interface {
 	Refuses(group string, parts []radishspoke.PromptPart) (part string, after time.Duration, ok bool)
 	Broken(engine radishspoke.Instance, parts []radishspoke.PromptPart, sent time.Duration)
-	Ended(engine radishspoke.Instance)
+	Crashed(engine radishspoke.Instance)
 	Completed(group string, parts []radishspoke.PromptPart)
 }
 
 // checkPrompt returns a failure if the prompt of a request must not be sent to engines.
-// It is called before each send because engines may have ended on a part of the prompt
+// It is called before each send because engines may have crashed on a part of the prompt
 // while the request waited.
 func (d *Dispatcher) checkPrompt(j *job) *radishspoke.Failure {
 	part, after, ok := d.Quarantine.Refuses(j.group.Name, j.incoming.Generation.Parts)
 	if !ok {
 		return nil
 	}
-	message := "engines have ended on part " + part + " of the prompt"
+	message := "engines have crashed on part " + part + " of the prompt"
 	if j.mayHaveRun {
 		return d.failure(j, "quarantine", message)
 	}
@@ -52,11 +52,11 @@
 	}
 	d.Log.Warn("generation broken off", "id", j.incoming.ID, "engine", t.ID, "parts", strings.Join(ids, ","), "after", d.Clock.Now()-sent, "error", reason)
 	d.Quarantine.Broken(t, j.incoming.Generation.Parts, sent)
-	d.endings.check(t, d.Dependencies)
+	d.crashes.check(t, d.Dependencies)
 }
 
 const (
-	// closeDelay is the time before a probe in which a process that ends closes its
+	// closeDelay is the time before a probe in which a process that crashes closes its
 	// listener.
 	closeDelay = 20 * time.Millisecond
 
@@ -65,8 +65,8 @@
 	probeInterval = 200 * time.Millisecond
 )
 
-// endings finds out whether engines that have broken generations off have ended.
-type endings struct {
+// crashDetector finds out whether engines that have broken generations off have crashed.
+type crashDetector struct {
 	mu sync.Mutex
 
 	// probing has the ids of the engines that are being probed. The value is whether
@@ -74,26 +74,26 @@
 	probing map[string]bool
 }
 
-// check probes an engine, in the background, and reports its end if it does not listen
+// check probes an engine, in the background, and reports a crash if it does not listen
 // any more.
-func (e *endings) check(t radishspoke.Instance, d Dependencies) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if _, running := e.probing[t.ID]; running {
-		e.probing[t.ID] = true
+func (c *crashDetector) check(t radishspoke.Instance, d Dependencies) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, running := c.probing[t.ID]; running {
+		c.probing[t.ID] = true
 		return
 	}
-	e.probing[t.ID] = false
+	c.probing[t.ID] = false
 	go func() {
 		ctx := context.Background() // the probe is bounded by the dial timeout of the client
 		for delay := closeDelay; ; delay = probeInterval {
 			ticker.Sleep(ctx, delay)
 			err := d.Targets.Probe(ctx, t.Address)
 			if errors.Is(err, syscall.ECONNREFUSED) {
-				d.Log.Warn("engine has ended", "engine", t.ID, "address", t.Address)
-				d.Quarantine.Ended(t)
+				d.Log.Warn("engine has crashed", "engine", t.ID, "address", t.Address)
+				d.Quarantine.Crashed(t)
 			}
-			if !e.again(t.ID) {
+			if !c.again(t.ID) {
 				return
 			}
 		}
@@ -102,13 +102,13 @@
 
 // again reports whether an engine must be probed again. If not, it is not being probed
 // any more.
-func (e *endings) again(id string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.probing[id] {
-		delete(e.probing, id)
+func (c *crashDetector) again(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.probing[id] {
+		delete(c.probing, id)
 		return false
 	}
-	e.probing[id] = false
+	c.probing[id] = false
 	return true
 }
--- a/coordination/fleetrouter/fleetrouter.go
+++ b/coordination/fleetrouter/fleetrouter.go
@@ -269,8 +269,7 @@
 
 // usable returns the targets of a group and role that are neither excluded nor avoided nor
 // ejected nor paused after lost KV caches. If there are none, it returns the target
-// that becomes usable first, unless all are excluded
-// or avoided.
+// that becomes usable first, unless all are excluded or avoided.
 func (r *Router) usable(group string, role radishspoke.Role, exclude map[string]bool) []*target {
 	now := r.clock.Now()
 	var out []*target
--- a/coordination/fleetrouter/fleetrouter_test.go
+++ b/coordination/fleetrouter/fleetrouter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -43,7 +44,7 @@
 		times.ObservePrefill("g", "trained", tokens, time.Duration(float64(tokens)/406_000*float64(time.Second)))
 		times.ObserveTransfer("g", 2*ms, ms)
 	}
-	r := fleetrouter.New(fleetrouter.Settings{Zone: zone}, clock, rand.New(rand.NewPCG(seed, 1)), times, locator.New(locator.Settings{}, clock), forecaster.New(clock), avoider.New(clock))
+	r := fleetrouter.New(fleetrouter.Settings{Zone: zone}, clock, rand.New(rand.NewPCG(seed, 1)), times, locator.New(locator.Settings{}, clock), forecaster.New(clock), avoider.New(clock, slog.New(slog.DiscardHandler)))
 	r.SetTargets(list)
 	return r, clock
 }
--- a/coordination/quarantiner/quarantiner.go
+++ b/coordination/quarantiner/quarantiner.go
@@ -17,56 +17,55 @@
 	Part  string
 }
 
-// Case is the end of an engine during a generation on a part. It has no time of another
-// process but Ended, so that passing it on again and again does not change it.
-type Case struct {
+// Crash is the crash of an engine during a generation on a part. It has no time of another
+// process but At, so that passing it on again and again does not change it.
+type Crash struct {
 	Key
 	Engine string        // lifetime of the instance
 	Depth  int           // number of parts before the part in its prompt
-	Ended  time.Duration // time at which the engine ended, on the clock of this process
+	At     time.Duration // time at which the engine crashed, on the clock of this process
 
-	// Running is the time before the end at which the newest request with the part was
+	// Running is the time before the crash at which the newest request with the part was
 	// sent to the engine.
 	Running time.Duration
 
-	// Disproved tells that a generation on the part was completed after the end.
-	Disproved bool
+	// Cleared tells that a generation on the part was completed after the crash.
+	Cleared bool
 }
 
 // Settings holds the parameters of a Quarantiner. A zero value selects the default.
 type Settings struct {
-	// Ends is the number of ends of engines, one after the other, after which a part is
-	// blamed. The default of 3 is the least that chance seldom reaches while engines end
-	// every second.
-	Ends int
+	// Crashes is the number of independent crashes after which a part is quarantined. The default of 3 is the least that chance seldom reaches while engines
+	// crash every second.
+	Crashes int
 
-	// Hold is the time after the last end for which prompts with a blamed part are
-	// refused. The default is 5 min.
+	// Hold is the time after the last crash for which prompts with a quarantined part
+	// are refused. The default is 5 min.
 	Hold time.Duration
 
-	// ReportFor is the time for which a new or changed case is passed on to other
-	// processes. Cases of blamed parts are passed on for Hold. The default is 5 s.
+	// ReportFor is the time for which a new or changed crash is passed on to other
+	// processes. Those of quarantined parts are passed on for Hold. The default is 5 s.
 	ReportFor time.Duration
 }
 
 const (
-	defaultEnds      = 3
+	defaultCrashes   = 3
 	defaultHold      = 5 * time.Minute
 	defaultReportFor = 5 * time.Second
 
-	// breakWindow is the time before the end of an engine is noticed in which the
+	// breakWindow is the time before the crash of an engine is noticed in which the
 	// generations on it broke off.
 	breakWindow = time.Second
 
-	maxParts       = 1024 // parts with cases
-	maxPartCases   = 16   // cases of one part; the newest are kept
+	maxParts       = 1024 // parts with crashes
+	maxPartCrashes = 16   // of one part; the newest are kept
 	maxCompletions = 8192 // parts whose last completion is kept
-	maxReported    = 64   // cases in one message; each takes about 60 bytes
+	maxReported    = 64   // crashes in one message; each takes about 60 bytes
 )
 
 func (s *Settings) setDefaults() {
-	if s.Ends == 0 {
-		s.Ends = defaultEnds
+	if s.Crashes == 0 {
+		s.Crashes = defaultCrashes
 	}
 	if s.Hold == 0 {
 		s.Hold = defaultHold
@@ -76,9 +75,9 @@
 	}
 }
 
-// heldCase is a case with the time of its last change at this process.
-type heldCase struct {
-	Case
+// heldCrash is a crash with the time of its last change at this process.
+type heldCrash struct {
+	Crash
 	changed time.Duration
 }
 
@@ -89,7 +88,7 @@
 	at   time.Duration
 }
 
-// Quarantiner keeps the cases of this process and of others. It is safe for concurrent
+// Quarantiner keeps the crashes of this process and of others. It is safe for concurrent
 // use. Create it with New.
 type Quarantiner struct {
 	settings Settings
@@ -98,19 +97,19 @@
 
 	mu          sync.Mutex
 	broken      map[string][]broken      // newest broken generations, by lifetime of the engine
-	cases       map[Key][]heldCase       // in the order of their ends
+	crashes     map[Key][]heldCrash      // in the order of their times
 	completions map[Key]time.Duration    // last completion by this process
-	blamed      map[Key]time.Duration    // end of the quarantine
-	undecided   bool                     // a part would be blamed if there was a completion
+	quarantined map[Key]time.Duration    // end of the quarantine
+	undecided   bool                     // a part would be quarantined if there was a completion
 	served      map[string]time.Duration // last completion by this process, by group
 }
 
-// New returns a Quarantiner that blames no part.
+// New returns a Quarantiner that quarantines no part.
 func New(s Settings, c radishspoke.Clock, log *slog.Logger) *Quarantiner {
 	s.setDefaults()
 	return &Quarantiner{
 		settings: s, clock: c, log: log,
-		broken: map[string][]broken{}, cases: map[Key][]heldCase{}, completions: map[Key]time.Duration{}, blamed: map[Key]time.Duration{},
+		broken: map[string][]broken{}, crashes: map[Key][]heldCrash{}, completions: map[Key]time.Duration{}, quarantined: map[Key]time.Duration{},
 		served: map[string]time.Duration{},
 	}
 }
@@ -129,7 +128,7 @@
 }
 
 // Broken records that an engine has broken off a generation that was sent to it at the
-// given time. It counts only if Ended is called soon after.
+// given time. It counts only if Crashed is called soon after.
 func (q *Quarantiner) Broken(t radishspoke.Instance, parts []radishspoke.PromptPart, sent time.Duration) {
 	engine, keys := t.Lifetime(), keysOf(t.Group, parts)
 	if keys == nil {
@@ -142,9 +141,9 @@
 	q.broken[engine] = append(list, broken{keys: keys, sent: sent, at: now})
 }
 
-// Ended records that an engine has ended. The generations on it that broke off shortly
-// before become cases.
-func (q *Quarantiner) Ended(t radishspoke.Instance) {
+// Crashed records that an engine has crashed. The generations on it that broke off shortly
+// before are recorded as crashes on their parts.
+func (q *Quarantiner) Crashed(t radishspoke.Instance) {
 	engine := t.Lifetime()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -154,11 +153,11 @@
 			continue
 		}
 		for depth, k := range b.keys {
-			q.add(Case{Key: k, Engine: engine, Depth: depth, Ended: b.at, Running: b.at - b.sent})
+			q.add(Crash{Key: k, Engine: engine, Depth: depth, At: b.at, Running: b.at - b.sent})
 		}
 	}
 	delete(q.broken, engine)
-	q.judge(now)
+	q.evaluate(now)
 }
 
 // Completed records that a generation was completed.
@@ -172,14 +171,14 @@
 			q.forgetCompletions()
 		}
 		q.completions[k] = now
-		for i := range q.cases[k] {
-			if c := &q.cases[k][i]; !c.Disproved {
-				c.Disproved, c.changed, changed = true, now, true
+		for i := range q.crashes[k] {
+			if c := &q.crashes[k][i]; !c.Cleared {
+				c.Cleared, c.changed, changed = true, now, true
 			}
 		}
 	}
 	if changed {
-		q.judge(now)
+		q.evaluate(now)
 	}
 }
 
@@ -195,92 +194,92 @@
 }
 
 // Merge records what another process has seen.
-func (q *Quarantiner) Merge(cases []Case) {
-	if len(cases) == 0 {
+func (q *Quarantiner) Merge(crashes []Crash) {
+	if len(crashes) == 0 {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	changed := false
-	for _, c := range cases {
+	for _, c := range crashes {
 		changed = q.add(c) || changed
 	}
 	if changed {
-		q.judge(q.clock.Now())
+		q.evaluate(q.clock.Now())
 	}
 }
 
-// Refuses returns the blamed part of a prompt and the time until it may be tried again.
+// Refuses returns the quarantined part of a prompt and the time until it may be tried again.
 // It returns false if the prompt has none.
 func (q *Quarantiner) Refuses(group string, parts []radishspoke.PromptPart) (part string, after time.Duration, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.blamed) == 0 {
+	if len(q.quarantined) == 0 {
 		return "", 0, false
 	}
 	now := q.clock.Now()
 	for _, k := range keysOf(group, parts) {
-		if until, found := q.blamed[k]; found && now < until {
+		if until, found := q.quarantined[k]; found && now < until {
 			return k.Part, until - now, true
 		}
 	}
 	return "", 0, false
 }
 
-// Blamed returns the number of parts in quarantine.
-func (q *Quarantiner) Blamed() int {
+// Quarantined returns the number of parts in quarantine.
+func (q *Quarantiner) Quarantined() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.judge(q.clock.Now())
-	return len(q.blamed)
+	q.evaluate(q.clock.Now())
+	return len(q.quarantined)
 }
 
-// Report returns the cases to pass on to other processes. Those of parts with the most
-// cases come first.
-func (q *Quarantiner) Report() []Case {
+// Report returns the crashes to pass on to other processes. Those of parts with the most
+// crashes come first.
+func (q *Quarantiner) Report() []Crash {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
-	q.judge(now)
-	var out []Case
-	for k, list := range q.cases {
-		_, blamed := q.blamed[k]
+	q.evaluate(now)
+	var out []Crash
+	for k, list := range q.crashes {
+		_, quarantined := q.quarantined[k]
 		for _, c := range list {
-			if blamed || now-c.changed <= q.settings.ReportFor {
-				out = append(out, c.Case)
+			if quarantined || now-c.changed <= q.settings.ReportFor {
+				out = append(out, c.Crash)
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b Case) int {
-		return cmp.Or(cmp.Compare(len(q.cases[b.Key]), len(q.cases[a.Key])), cmp.Compare(b.Ended, a.Ended), cmp.Compare(a.Part, b.Part))
+	slices.SortFunc(out, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(len(q.crashes[b.Key]), len(q.crashes[a.Key])), cmp.Compare(b.At, a.At), cmp.Compare(a.Part, b.Part))
 	})
 	return out[:min(len(out), maxReported)]
 }
 
 // add records a case. It returns false if the case says nothing new.
-func (q *Quarantiner) add(c Case) bool {
+func (q *Quarantiner) add(c Crash) bool {
 	now := q.clock.Now()
-	if c.Running < 0 || now-c.Ended > q.settings.Hold {
+	if c.Running < 0 || now-c.At > q.settings.Hold {
 		return false
 	}
 	// A case that was passed on appears later than it was, never earlier.
-	c.Disproved = c.Disproved || q.completions[c.Key] > c.Ended
-	list, known := q.cases[c.Key]
+	c.Cleared = c.Cleared || q.completions[c.Key] > c.At
+	list, known := q.crashes[c.Key]
 	for i := range list {
 		if o := &list[i]; o.Engine == c.Engine {
-			if c.Running >= o.Running && (o.Disproved || !c.Disproved) {
+			if c.Running >= o.Running && (o.Cleared || !c.Cleared) {
 				return false
 			}
-			o.Running, o.Disproved, o.changed = min(o.Running, c.Running), o.Disproved || c.Disproved, now
+			o.Running, o.Cleared, o.changed = min(o.Running, c.Running), o.Cleared || c.Cleared, now
 			return true
 		}
 	}
-	if !known && len(q.cases) >= maxParts {
+	if !known && len(q.crashes) >= maxParts {
 		return false
 	}
-	list = append(list, heldCase{Case: c, changed: now})
-	slices.SortFunc(list, func(a, b heldCase) int { return cmp.Or(cmp.Compare(a.Ended, b.Ended), cmp.Compare(a.Engine, b.Engine)) })
-	q.cases[c.Key] = list[max(0, len(list)-maxPartCases):]
+	list = append(list, heldCrash{Crash: c, changed: now})
+	slices.SortFunc(list, func(a, b heldCrash) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Engine, b.Engine)) })
+	q.crashes[c.Key] = list[max(0, len(list)-maxPartCrashes):]
 	return true
 }
 
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -29,7 +29,7 @@
 type fleet struct {
 	clock     *simulator.ManualClock
 	processes []*quarantiner.Quarantiner
-	engines   int // that have ended
+	engines   int // that have crashed
 }
 
 func newFleet(processes int) *fleet {
@@ -40,27 +40,27 @@
 	return f
 }
 
-// end has an engine end that runs generations on the given prompts, each sent running
+// crash has an engine crash that runs generations on the given prompts, each sent running
 // ago by the process.
-func (f *fleet) end(process int, running time.Duration, prompts ...[]radishspoke.PromptPart) {
+func (f *fleet) crash(process int, running time.Duration, prompts ...[]radishspoke.PromptPart) {
 	f.engines++
 	engine := radishspoke.Instance{ID: fmt.Sprintf("e%d", f.engines), Group: group}
 	for _, p := range prompts {
 		f.processes[process].Broken(engine, p, f.clock.At-running)
 	}
-	f.processes[process].Ended(engine)
+	f.processes[process].Crashed(engine)
 }
 
 // exchange has each process send a message to each other one, which takes delay.
 func (f *fleet) exchange(delay time.Duration) {
 	for i, from := range f.processes {
-		cases := from.Report()
-		for k := range cases {
-			cases[k].Ended += delay
+		crashes := from.Report()
+		for k := range crashes {
+			crashes[k].At += delay
 		}
 		for j, to := range f.processes {
 			if i != j {
-				to.Merge(cases)
+				to.Merge(crashes)
 			}
 		}
 	}
@@ -77,16 +77,16 @@
 	running = 100 * time.Millisecond // of a generation
 )
 
-// Guards against second1: engines that end one after the other on one part. Prompts with
+// Guards against second1: engines that crash one after the other on one part. Prompts with
 // its other parts must still be served.
-func TestPartBlamed(t *testing.T) {
+func TestPartQuarantined(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(1)
 	bad := prompt("first", "bad")
 	for range 3 {
 		c.Assert(f.refuses(0, bad), qt.IsFalse)
 		f.clock.At += step
-		f.end(0, running, bad, prompt("first", fmt.Sprint("sound", f.engines)))
+		f.crash(0, running, bad, prompt("first", fmt.Sprint("sound", f.engines)))
 		f.clock.At += step
 		f.processes[0].Completed(group, prompt("first", "other"))
 	}
@@ -98,13 +98,13 @@
 		c.Assert(f.refuses(0, prompt("first", p)), qt.IsFalse)
 	}
 	c.Assert(f.refuses(0, prompt("first")), qt.IsFalse)
-	// The part that belongs to one request is never blamed.
+	// The part that belongs to one request is never quarantined.
 	c.Assert(f.refuses(0, []radishspoke.PromptPart{{ID: "first"}, {ID: "bad"}}), qt.IsFalse)
 	f.clock.At += after
 	c.Assert(f.refuses(0, bad), qt.IsFalse)
 }
 
-// Guards against ends that count once because the engine starts again with its id.
+// Guards against crashes that count once because the engine starts again with its id.
 func TestSameEngineAgain(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(1)
@@ -113,7 +113,7 @@
 		f.clock.At += step
 		engine := radishspoke.Instance{ID: "e", Group: group, StartTime: time.UnixMilli(int64(k))}
 		f.processes[0].Broken(engine, bad, f.clock.At-running)
-		f.processes[0].Ended(engine)
+		f.processes[0].Crashed(engine)
 		f.clock.At += step
 		f.processes[0].Completed(group, prompt("first"))
 	}
@@ -121,26 +121,26 @@
 }
 
 // Guards against the quarantine of a sound part when several engines fail at one moment.
-func TestEndsAtOneMomentCountOnce(t *testing.T) {
+func TestCrashesAtOneMomentCountOnce(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(1)
 	for range 10 {
-		f.end(0, running, prompt("first", "sound"))
+		f.crash(0, running, prompt("first", "sound"))
 	}
 	f.processes[0].Completed(group, prompt("other"))
 	f.clock.At += step
-	c.Assert(f.processes[0].Blamed(), qt.Equals, 0)
+	c.Assert(f.processes[0].Quarantined(), qt.Equals, 0)
 }
 
-// Guards against a quarantine of all prompts when engines end whatever they work on.
-func TestNoBlameWithoutCompletions(t *testing.T) {
+// Guards against a quarantine of all prompts when engines crash whatever they work on.
+func TestNoQuarantineWithoutCompletions(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(1)
 	for range 10 {
 		f.clock.At += step
-		f.end(0, running, prompt("first"))
+		f.crash(0, running, prompt("first"))
 	}
-	c.Assert(f.processes[0].Blamed(), qt.Equals, 0)
+	c.Assert(f.processes[0].Quarantined(), qt.Equals, 0)
 }
 
 // Guards against the quarantine of a part that was on the engines by chance, and against
@@ -148,20 +148,20 @@
 func TestPartReleasedOnceAnotherExplains(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(1)
-	for range 3 { // the deeper of two parts is blamed first
+	for range 3 { // the deeper of two parts is quarantined first
 		f.clock.At += step
-		f.end(0, running, prompt("first", "bad"), prompt("first", "x", "chance"))
+		f.crash(0, running, prompt("first", "bad"), prompt("first", "x", "chance"))
 		f.processes[0].Completed(group, prompt("first", "x"))
 	}
 	f.clock.At += step
 	f.processes[0].Completed(group, prompt("first", "x"))
 	c.Assert(f.refuses(0, prompt("first", "x", "chance")), qt.IsTrue)
-	f.end(0, running, prompt("first", "bad"))
+	f.crash(0, running, prompt("first", "bad"))
 	c.Assert(f.refuses(0, prompt("first", "bad")), qt.IsTrue)
 	c.Assert(f.refuses(0, prompt("first", "x", "chance")), qt.IsFalse)
 }
 
-// Guards against second1 across processes: each sees one of the ends only, and messages
+// Guards against second1 across processes: each sees one of the crashes only, and messages
 // that are passed on again and again must not move the times.
 func TestSpread(t *testing.T) {
 	c := qt.New(t)
@@ -170,7 +170,7 @@
 	bad := prompt("first", "bad")
 	for i := range f.processes {
 		f.clock.At += step
-		f.end(i, running, bad)
+		f.crash(i, running, bad)
 		for _, p := range f.processes {
 			p.Completed(group, prompt("first"))
 		}
@@ -181,19 +181,19 @@
 	}
 	for i := range f.processes {
 		f.processes[i].Completed(group, prompt("first"))
-		c.Assert(f.processes[i].Blamed(), qt.Equals, 1)
+		c.Assert(f.processes[i].Quarantined(), qt.Equals, 1)
 		c.Assert(f.refuses(i, bad), qt.IsTrue)
 	}
 	var times []time.Duration
 	for _, r := range f.processes[0].Report() {
-		times = append(times, r.Ended, r.Running)
+		times = append(times, r.At, r.Running)
 	}
 	for range 200 {
 		f.exchange(delay)
 	}
 	var later []time.Duration
 	for _, r := range f.processes[0].Report() {
-		later = append(later, r.Ended, r.Running)
+		later = append(later, r.At, r.Running)
 	}
 	c.Assert(later, qt.DeepEquals, times)
 	// A process that starts later learns it from the others.
@@ -203,7 +203,7 @@
 	f.exchange(delay)
 	f.processes[3].Completed(group, prompt("first"))
 	f.exchange(delay)
-	c.Assert(f.processes[3].Blamed(), qt.Equals, 1)
+	c.Assert(f.processes[3].Quarantined(), qt.Equals, 1)
 }
 
 // TestCompletionElsewhereClears checks that a completion at one process clears a part at
@@ -214,22 +214,22 @@
 	sound := prompt("first", "sound")
 	for range 3 {
 		f.clock.At += step
-		f.end(0, running, sound)
+		f.crash(0, running, sound)
 	}
 	f.clock.At += step
 	f.processes[0].Completed(group, prompt("first"))
-	c.Assert(f.processes[0].Blamed(), qt.Equals, 1)
+	c.Assert(f.processes[0].Quarantined(), qt.Equals, 1)
 	f.processes[1].Completed(group, sound)
 	f.exchange(0)
 	f.exchange(0)
-	c.Assert(f.processes[0].Blamed(), qt.Equals, 0)
-	c.Assert(f.processes[1].Blamed(), qt.Equals, 0)
+	c.Assert(f.processes[0].Quarantined(), qt.Equals, 0)
+	c.Assert(f.processes[1].Quarantined(), qt.Equals, 0)
 }
 
-// TestRandomTraffic has engines end on a bad part, and at other times by themselves, under
+// TestRandomTraffic has engines crash on a bad part, and at other times by themselves, under
 // random traffic of five processes that exchange messages each 200 ms. Whatever the seed,
-// no more than three requests with the part are sent later than 3 s after the fifth end
-// on it, and no sound part is refused at the end.
+// no more than three requests with the part are sent later than 3 s after the fifth
+// crash on it, and no sound part is refused at the end.
 func TestRandomTraffic(t *testing.T) {
 	const (
 		engines  = 8
@@ -237,7 +237,7 @@
 		requests = 20_000
 		interval = 4 * time.Millisecond // between two requests
 		repair   = 3 * time.Second
-		contact  = 3 * time.Second // after the fifth end
+		contact  = 3 * time.Second // after the fifth crash
 	)
 	type generation struct {
 		process int
@@ -253,7 +253,7 @@
 		load := make([][]generation, engines)
 		down := make([]time.Duration, engines) // end of the repair
 		crashes, late, id := 0, 0, 0
-		fifth := time.Duration(0) // time of the fifth end on the bad part
+		fifth := time.Duration(0) // time of the fifth crash on the bad part
 		fail := func(k int) {
 			id++
 			engine := radishspoke.Instance{ID: fmt.Sprintf("r%d", id), Group: group}
@@ -261,7 +261,7 @@
 				f.processes[g.process].Broken(engine, g.parts, g.sent)
 			}
 			for _, g := range load[k] {
-				f.processes[g.process].Ended(engine)
+				f.processes[g.process].Crashed(engine)
 			}
 			load[k], down[k] = nil, f.clock.At+repair
 		}
@@ -292,7 +292,7 @@
 			if n%50 == 0 {
 				f.exchange(2 * time.Millisecond)
 			}
-			if n%5000 == 2500 { // half of the engines end at one moment
+			if n%5000 == 2500 { // half of the engines crash at one moment
 				for k := range engines / 2 {
 					fail(k)
 				}
@@ -318,8 +318,8 @@
 		f.exchange(0)
 		for i := range f.processes {
 			c.Assert(f.refuses(i, prompt("first0", "bad")), qt.IsTrue, qt.Commentf("seed %d", seed))
-			c.Assert(f.processes[i].Blamed(), qt.Equals, 1, qt.Commentf("seed %d, process %d", seed, i))
+			c.Assert(f.processes[i].Quarantined(), qt.Equals, 1, qt.Commentf("seed %d, process %d", seed, i))
 		}
-		c.Assert(late <= 3, qt.IsTrue, qt.Commentf("seed %d: %d sent late, %d engines ended", seed, late, crashes))
+		c.Assert(late <= 3, qt.IsTrue, qt.Commentf("seed %d: %d sent late, %d engines crashed", seed, late, crashes))
 	}
 }
--- a/coordination/relayer/relayer_test.go
+++ b/coordination/relayer/relayer_test.go
@@ -119,7 +119,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		e := &engines{}
-		r := relayer.New(relayer.Settings{Engine: "reader", Window: 2}, e, avoider.New(&simulator.ManualClock{}), ticker.NewMonotonicClock(), silent)
+		r := relayer.New(relayer.Settings{Engine: "reader", Window: 2}, e, avoider.New(&simulator.ManualClock{}, silent), ticker.NewMonotonicClock(), silent)
 		var tasks sync.WaitGroup
 		send := func(name string, onTime time.Duration) {
 			o := relayer.Order{
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -152,7 +152,7 @@
 	e.locator = locator.New(locator.Settings{}, clock)
 	e.forecaster = forecaster.New(clock)
 	e.quarantiner = quarantiner.New(quarantiner.Settings{}, clock, env.Log)
-	e.avoider = avoider.New(clock)
+	e.avoider = avoider.New(clock, env.Log)
 	e.dividers = map[string]*planner.Divider{}
 	e.router = fleetrouter.New(fleetrouter.Settings{Zone: s.Zone}, clock, rand.New(rand.NewPCG(env.Seed, 1)), e.estimator, e.locator, e.forecaster, e.avoider)
 	e.peerRandom = rand.New(rand.NewPCG(env.Seed, 2))
@@ -262,7 +262,7 @@
 		}
 		return float64(n)
 	})
-	e.recorder.Gauge("parts_quarantined", func() float64 { return float64(e.quarantiner.Blamed()) })
+	e.recorder.Gauge("parts_quarantined", func() float64 { return float64(e.quarantiner.Quarantined()) })
 	e.recorder.Gauge("target_connections_opened", func() float64 { return float64(e.targetClient.DialCount()) })
 }
 
--- a/internal/assembler/fleetgossip.go
+++ b/internal/assembler/fleetgossip.go
@@ -57,7 +57,7 @@
 	for _, f := range e.locator.Report() {
 		m.Parts = append(m.Parts, &wire.CachedPart{Part: f.Part, Engine: f.Engine, Tokens: int64(f.Tokens), AgeUs: (now - f.Used).Microseconds()})
 	}
-	e.fillCases(m, now)
+	e.fillCrashes(m, now)
 	for group, l := range e.forecaster.Own() {
 		m.Loads = append(m.Loads, &wire.EngineLoad{Group: group, Prefill: l.Prefill, Streams: l.Streams, Memory: l.Memory, Transfer: l.Transfer, Tokens: l.Tokens})
 	}
@@ -66,26 +66,26 @@
 	}
 }
 
-// fillCases sets the field about parts of prompts on which engines have ended.
-func (e *FleetEntry) fillCases(m *wire.Gossip, now time.Duration) {
+// fillCrashes sets the field about parts of prompts on which engines have crashed.
+func (e *FleetEntry) fillCrashes(m *wire.Gossip, now time.Duration) {
 	for _, c := range e.quarantiner.Report() {
-		m.Ended = append(m.Ended, &wire.EndedOn{
+		m.Crashes = append(m.Crashes, &wire.PartCrash{
 			Group: c.Group, Part: c.Part, Engine: c.Engine, Depth: int32(c.Depth),
-			AgeUs: (now - c.Ended).Microseconds(), RunningUs: c.Running.Microseconds(), Disproved: c.Disproved,
+			AgeUs: (now - c.At).Microseconds(), RunningUs: c.Running.Microseconds(), Cleared: c.Cleared,
 		})
 	}
 }
 
-// mergeCases is the inverse of fillCases.
-func (e *FleetEntry) mergeCases(m *wire.Gossip, now time.Duration) {
-	cases := make([]quarantiner.Case, len(m.GetEnded()))
-	for i, c := range m.GetEnded() {
-		cases[i] = quarantiner.Case{
+// mergeCrashes is the inverse of fillCrashes.
+func (e *FleetEntry) mergeCrashes(m *wire.Gossip, now time.Duration) {
+	crashes := make([]quarantiner.Crash, len(m.GetCrashes()))
+	for i, c := range m.GetCrashes() {
+		crashes[i] = quarantiner.Crash{
 			Key: quarantiner.Key{Group: c.GetGroup(), Part: c.GetPart()}, Engine: c.GetEngine(), Depth: int(c.GetDepth()),
-			Ended: now - time.Duration(c.GetAgeUs())*time.Microsecond, Running: time.Duration(c.GetRunningUs()) * time.Microsecond, Disproved: c.GetDisproved(),
+			At: now - time.Duration(c.GetAgeUs())*time.Microsecond, Running: time.Duration(c.GetRunningUs()) * time.Microsecond, Cleared: c.GetCleared(),
 		}
 	}
-	e.quarantiner.Merge(cases)
+	e.quarantiner.Merge(crashes)
 }
 
 // fillLists sets the fields about the configuration and the list of targets.
@@ -173,7 +173,7 @@
 	for _, p := range u.Message.GetParts() {
 		e.locator.Merge(locator.Fact{Part: p.GetPart(), Engine: p.GetEngine(), Tokens: int(p.GetTokens()), Used: now - time.Duration(p.GetAgeUs())*time.Microsecond})
 	}
-	e.mergeCases(u.Message, now)
+	e.mergeCrashes(u.Message, now)
 	for _, l := range u.Message.GetLoads() {
 		e.forecaster.Merge(u.Process, l.GetGroup(), forecaster.Load{
 			Prefill: l.GetPrefill(), Streams: l.GetStreams(), Memory: l.GetMemory(), Transfer: l.GetTransfer(), Tokens: l.GetTokens(),
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -109,7 +109,7 @@
 // or 0 to serve none. An error is returned if the port for notifications cannot
 // be opened.
 func NewFleetSidecar(s platform.Settings, env Environment, metricsPort int) (*FleetSidecar, error) {
-	d := &FleetSidecar{prefillShares: map[string]float64{}, settings: s, env: env, started: env.Clock.Now(), avoider: avoider.New(env.Clock)}
+	d := &FleetSidecar{prefillShares: map[string]float64{}, settings: s, env: env, started: env.Clock.Now(), avoider: avoider.New(env.Clock, env.Log)}
 	d.engineClient = httpclient.New(httpclient.Settings{OnAnswer: observeAnswer(d.avoider)}, env.Network, env.Clock)
 	client := platform.New(s, env.Network, env.Clock)
 	d.watcher = fleetwatcher.New(fleetwatcher.Settings{Interval: listInterval}, client, env.Clock, d.mustPoll, env.Log,
--- a/internal/soaker/badpart.go
+++ b/internal/soaker/badpart.go
@@ -10,20 +10,20 @@
 )
 
 const (
-	badPartRate  = 0.1             // share of the long prompts with the bad part, while there is one
-	repairTime   = time.Second     // time for which an engine that has ended is down
-	contactTime  = 3 * time.Second // time after which an undisturbed entry must know of the fifth end
-	allowedEnds  = 5
-	allowedAfter = 3 // requests with the part that may still reach engines
-	badPart      = "bad"
+	badPartRate    = 0.1             // share of the long prompts with the bad part, while there is one
+	repairTime     = time.Second     // time for which an engine that has crashed is down
+	contactTime    = 3 * time.Second // time after which an undisturbed entry must know of the fifth crash
+	allowedCrashes = 5
+	allowedAfter   = 3 // requests with the part that may still reach engines
+	badPart        = "bad"
 )
 
-// badPartCheck records what happens to requests with a part on which engines end.
+// badPartCheck records what happens to requests with a part that crashes engines.
 type badPartCheck struct {
-	mu     sync.Mutex
-	active bool
-	ends   []time.Time
-	sent   map[string]*badRequest // by request ID
+	mu      sync.Mutex
+	active  bool
+	crashes []time.Time
+	sent    map[string]*badRequest // by request ID
 }
 
 // badRequest is a request with the bad part.
@@ -58,36 +58,36 @@
 }
 
 // recordArrival records that a request with the bad part has reached an engine, and
-// that the engine ends on it, if it does.
-func (b *badPartCheck) recordArrival(id string, ends bool) {
+// whether it crashes the engine.
+func (b *badPartCheck) recordArrival(id string, crashes bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r, ok := b.sent[id]; ok && r.entry.inTouch() {
 		r.arrivals++
 	}
-	if ends {
-		b.ends = append(b.ends, time.Now())
+	if crashes {
+		b.crashes = append(b.crashes, time.Now())
 	}
 }
 
 // evaluate returns a finding if too many requests with the bad part have reached engines
-// that were sent later than contactTime after the fifth end.
+// that were sent later than contactTime after the fifth crash.
 func (b *badPartCheck) evaluate() []Finding {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.ends) < allowedEnds {
+	if len(b.crashes) < allowedCrashes {
 		return nil
 	}
 	arrived := 0
 	for _, r := range b.sent {
-		if r.sent.After(b.ends[allowedEnds-1].Add(contactTime)) {
+		if r.sent.After(b.crashes[allowedCrashes-1].Add(contactTime)) {
 			arrived += r.arrivals
 		}
 	}
 	if arrived <= allowedAfter {
 		return nil
 	}
-	return []Finding{{"crash", "", fmt.Sprintf("%d requests with a part on which %d engines ended were sent to engines later than %v after the fifth end", arrived, len(b.ends), contactTime)}}
+	return []Finding{{"crash", "", fmt.Sprintf("%d requests with a part that crashed %d engines were sent to engines later than %v after the fifth crash", arrived, len(b.crashes), contactTime)}}
 }
 
 // inTouch reports whether the process was neither started, stopped nor disturbed in the
@@ -99,14 +99,14 @@
 	return !p.paused && !p.disturbedAt.After(from) && !p.startedAt.After(from) && !p.terminatedAt.After(from)
 }
 
-// end has the target end: it stops listening, resets its connections, and starts again as
+// crash has the target crash: it stops listening, resets its connections, and starts again as
 // another instance after repairTime.
-func (t *target) end() {
+func (t *target) crash() {
 	t.mu.Lock()
-	ending := t.ending
-	t.ending = true
+	down := t.down
+	t.down = true
 	t.mu.Unlock()
-	if ending {
+	if down {
 		return
 	}
 	t.stopListening()
@@ -117,7 +117,7 @@
 		}
 		t.restart()
 		t.mu.Lock()
-		t.ending = false
+		t.down = false
 		t.mu.Unlock()
 	})
 }
--- a/internal/soaker/doc.go
+++ b/internal/soaker/doc.go
@@ -12,7 +12,7 @@
 //   - the store is unavailable, drops the responses to writes, or compacts its
 //     history;
 //   - targets return faulty responses, or restart at the same address;
-//   - engines end when they begin an answer to a prompt with a certain part;
+//   - engines crash when they begin an answer to a prompt with a certain part;
 //   - API keys are withdrawn.
 //
 // The documentation of Finding lists the checks.
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -85,7 +85,7 @@
 	}
 	// The draws of the other faults of a seed must not depend on these.
 	begin := s.settings.Quiet + time.Duration(rand.New(rand.NewPCG(s.settings.Seed, 3)).Int64N(int64(s.settings.Length/2)))
-	add(begin, func() { s.badPart.setActive(true) }, "callers send a part on which engines end")
+	add(begin, func() { s.badPart.setActive(true) }, "callers send a part that crashes engines")
 	add(s.settings.Length, func() { s.badPart.setActive(false) }, "callers send no such part any more")
 	return events
 }
--- a/internal/soaker/recorder.go
+++ b/internal/soaker/recorder.go
@@ -22,8 +22,8 @@
 //   - lost: a planned stop of a process interrupts no request;
 //   - one: all usage reports of a window are equal, and an engine receives orders
 //     from a single lease holder;
-//   - crash: no more than three requests with a part on which engines end reach engines
-//     later than 3 s after the fifth end, through entries that were not disturbed;
+//   - crash: no more than three requests with a part that crashes engines reach engines
+//     later than 3 s after the fifth crash, through entries that were not disturbed;
 //   - exit: a process exits only after SIGTERM or SIGKILL, and after SIGTERM within
 //     its grace period and without an error;
 //   - recover: after the last fault every entry serves every kind of request
--- a/internal/soaker/target.go
+++ b/internal/soaker/target.go
@@ -37,7 +37,7 @@
 	handles    map[string]bool  // KV caches that have not been fetched
 	lastHandle int              // ID of the last handle
 	faulty     bool             // some responses are faulty
-	ending     bool             // it has ended and has not started again yet
+	down       bool             // it has crashed and has not started again yet
 }
 
 // newTarget starts a target at an IP address. The role is empty for a plain
@@ -150,11 +150,11 @@
 	time.Sleep(pause)
 	t.checkRequest(request, body)
 	if hasBadPart(request.Parts) {
-		ends := role == radishspoke.DecodeRole && !request.PrefillOnly
-		t.soak.badPart.recordArrival(request.ID, ends)
-		if ends {
+		crashes := role == radishspoke.DecodeRole && !request.PrefillOnly
+		t.soak.badPart.recordArrival(request.ID, crashes)
+		if crashes {
 			t.soak.recorder.addExecution(request.ID, id)
-			t.end()
+			t.crash()
 			return nil
 		}
 	}
