Do not count requests to engines that have crashed already

Cause: a request over a connection whose end had not been noticed yet breaks off as well. It was sent after the crash of another engine, and so made one moment count as several crashes. Change: the earliest known time of a crash is kept for each engine; requests that were sent later do not count for it, at the process that sent them and at others. Crashes within 20 ms count once. A request is given up after two engines have broken it off, as the further ones are no independent evidence.

--- a/coordination/fleetdispatcher/quarantine.go
+++ b/coordination/fleetdispatcher/quarantine.go
@@ -40,7 +40,7 @@
 
 // maxBreaks is the number of engines that may break one request off. Attempts do not
 // bound it, because a prefill is none.
-const maxBreaks = 3
+const maxBreaks = 2
 
 // handleBreak handles a generation or a prefill, sent to an engine at the given time, that
 // the engine has broken off.
--- a/coordination/quarantiner/evaluate.go
+++ b/coordination/quarantiner/evaluate.go
@@ -1,7 +1,7 @@
 package quarantiner
 
 import (
-	"math"
+	"maps"
 	"slices"
 	"time"
 )
@@ -17,6 +17,7 @@
 			q.crashes[k] = list
 		}
 	}
+	maps.DeleteFunc(q.crashedAt, func(_ string, at time.Duration) bool { return now-at > q.settings.Hold })
 	q.undecided = false
 	quarantined := map[Key]time.Duration{}
 	explained := map[string]bool{} // engines whose crash a quarantined part explains
@@ -52,7 +53,7 @@
 	var worst Key
 	most, depth := 0, 0
 	for k, list := range q.crashes {
-		n, first := independent(list, explained)
+		n, first := q.independent(list, explained)
 		if n < q.settings.Crashes || n < most {
 			continue
 		}
@@ -69,12 +70,13 @@
 }
 
 // independent returns the number of crashes, neither cleared nor of explained engines, whose
-// request was sent after the previous one, and the time of the first. The crashes must be in
-// the order of their times.
-func independent(list []heldCrash, explained map[string]bool) (n int, first time.Duration) {
-	last := time.Duration(math.MinInt64)
+// request was sent after the previous one, and the time of the first. A request that was
+// sent when the engine had crashed already does not count. The crashes must be in the order
+// of their times.
+func (q *Quarantiner) independent(list []heldCrash, explained map[string]bool) (n int, first time.Duration) {
+	last := time.Duration(0)
 	for _, c := range list {
-		if c.Cleared || explained[c.Engine] || c.At-c.Running <= last {
+		if c.Cleared || explained[c.Engine] || q.isLate(c.Crash) || n > 0 && c.At-c.Running <= last+sameMoment {
 			continue
 		}
 		if n == 0 {
--- a/coordination/quarantiner/quarantiner.go
+++ b/coordination/quarantiner/quarantiner.go
@@ -57,6 +57,13 @@
 	// generations on it broke off.
 	breakWindow = time.Second
 
+	// sameMoment is the time within which crashes of several engines may have one cause
+	// that is none of the prompts.
+	sameMoment = 20 * time.Millisecond
+
+	// minChange is the least correction of a time that is passed on.
+	minChange = time.Millisecond
+
 	maxParts       = 1024 // parts with crashes
 	maxPartCrashes = 16   // of one part; the newest are kept
 	maxCompletions = 8192 // parts whose last completion is kept
@@ -98,6 +105,7 @@
 	mu          sync.Mutex
 	broken      map[string][]broken      // newest broken generations, by lifetime of the engine
 	crashes     map[Key][]heldCrash      // in the order of their times
+	crashedAt   map[string]time.Duration // earliest time known, by lifetime of the engine
 	completions map[Key]time.Duration    // last completion by this process
 	quarantined map[Key]time.Duration    // end of the quarantine
 	undecided   bool                     // a part would be quarantined if there was a completion
@@ -110,7 +118,7 @@
 	return &Quarantiner{
 		settings: s, clock: c, log: log,
 		broken: map[string][]broken{}, crashes: map[Key][]heldCrash{}, completions: map[Key]time.Duration{}, quarantined: map[Key]time.Duration{},
-		served: map[string]time.Duration{},
+		served: map[string]time.Duration{}, crashedAt: map[string]time.Duration{},
 	}
 }
 
@@ -256,33 +264,56 @@
 	return out[:min(len(out), maxReported)]
 }
 
-// add records a case. It returns false if the case says nothing new.
+// add records a crash. It returns false if the crash says nothing new. A crash that was
+// passed on appears later than it was, never earlier, so that the earliest time is the best.
 func (q *Quarantiner) add(c Crash) bool {
 	now := q.clock.Now()
 	if c.Running < 0 || now-c.At > q.settings.Hold {
 		return false
 	}
-	// A case that was passed on appears later than it was, never earlier.
+	if at, ok := q.crashedAt[c.Engine]; !ok || c.At < at {
+		q.crashedAt[c.Engine] = c.At
+	}
 	c.Cleared = c.Cleared || q.completions[c.Key] > c.At
 	list, known := q.crashes[c.Key]
-	for i := range list {
-		if o := &list[i]; o.Engine == c.Engine {
-			if c.Running >= o.Running && (o.Cleared || !c.Cleared) {
-				return false
-			}
-			o.Running, o.Cleared, o.changed = min(o.Running, c.Running), o.Cleared || c.Cleared, now
-			return true
+	i := slices.IndexFunc(list, func(o heldCrash) bool { return o.Engine == c.Engine })
+	switch {
+	case i >= 0:
+		old := list[i].Crash
+		next := q.join(old, c)
+		list[i].Crash = next
+		if next.Cleared == old.Cleared && next.Running == old.Running && old.At-next.At < minChange {
+			return false
 		}
-	}
-	if !known && len(q.crashes) >= maxParts {
+		list[i].changed = now
+	case !known && len(q.crashes) >= maxParts:
 		return false
+	default:
+		list = append(list, heldCrash{Crash: c, changed: now})
 	}
-	list = append(list, heldCrash{Crash: c, changed: now})
 	slices.SortFunc(list, func(a, b heldCrash) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Engine, b.Engine)) })
 	q.crashes[c.Key] = list[max(0, len(list)-maxPartCrashes):]
 	return true
 }
 
+// join returns what two reports of one crash say together.
+func (q *Quarantiner) join(a, b Crash) Crash {
+	cleared := a.Cleared || b.Cleared
+	switch {
+	case q.isLate(b):
+	case q.isLate(a):
+		a = b
+	default:
+		a.At, a.Running = min(a.At, b.At), min(a.Running, b.Running)
+	}
+	a.Cleared = cleared
+	return a
+}
+
+// isLate reports whether the request of a crash was sent when the engine had crashed
+// already, as over a connection whose end had not been noticed.
+func (q *Quarantiner) isLate(c Crash) bool { return c.At-c.Running >= q.crashedAt[c.Engine] }
+
 // forgetCompletions forgets the older half of the completions.
 func (q *Quarantiner) forgetCompletions() {
 	times := make([]time.Duration, 0, len(q.completions))
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -73,7 +73,10 @@
 }
 
 const (
-	step    = time.Second
+	step = time.Second
+
+	sameMoment = 20 * time.Millisecond // in which crashes may have one cause
+
 	running = 100 * time.Millisecond // of a generation
 )
 
@@ -132,6 +135,29 @@
 	c.Assert(f.processes[0].Quarantined(), qt.Equals, 0)
 }
 
+// Guards against the quarantine of a sound part whose requests were sent over connections
+// to engines that had just crashed, at the process that sent them and at others.
+func TestRequestsAfterCrashDoNotCount(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(2)
+	late, early := f.processes[0], f.processes[1]
+	for k := range 5 {
+		engine := radishspoke.Instance{ID: fmt.Sprint("e", k), Group: group}
+		early.Broken(engine, prompt("other"), f.clock.At-running)
+		early.Crashed(engine)
+		f.clock.At += 2 * sameMoment
+		late.Broken(engine, prompt("sound"), f.clock.At)
+		f.clock.At += time.Millisecond
+		late.Crashed(engine)
+		f.exchange(time.Millisecond)
+		f.clock.At += step
+		late.Completed(group, prompt("x"))
+		early.Completed(group, prompt("other"))
+		c.Assert(f.refuses(0, prompt("sound")), qt.IsFalse)
+		c.Assert(f.refuses(1, prompt("sound")), qt.IsFalse)
+	}
+}
+
 // Guards against a quarantine of all prompts when engines crash whatever they work on.
 func TestNoQuarantineWithoutCompletions(t *testing.T) {
 	c := qt.New(t)
@@ -253,7 +279,9 @@
 		load := make([][]generation, engines)
 		down := make([]time.Duration, engines) // end of the repair
 		crashes, late, id := 0, 0, 0
-		fifth := time.Duration(0) // time of the fifth crash on the bad part
+		last := make([]radishspoke.Instance, engines) // that crashed
+		at := make([]time.Duration, engines)          // time of its crash
+		fifth := time.Duration(0)                     // time of the fifth crash on the bad part
 		fail := func(k int) {
 			id++
 			engine := radishspoke.Instance{ID: fmt.Sprintf("r%d", id), Group: group}
@@ -264,6 +292,7 @@
 				f.processes[g.process].Crashed(engine)
 			}
 			load[k], down[k] = nil, f.clock.At+repair
+			last[k], at[k] = engine, f.clock.At
 		}
 		for n := range requests {
 			f.clock.At += interval
@@ -307,7 +336,14 @@
 				g.parts, g.bad = prompt(fmt.Sprint("first", random.IntN(4)), "bad"), true
 			}
 			k := random.IntN(engines)
-			if f.refuses(g.process, g.parts) || now < down[k] {
+			if f.refuses(g.process, g.parts) {
+				continue
+			}
+			if now < down[k] {
+				if now-at[k] < 2*interval { // the process has not noticed yet
+					f.processes[g.process].Broken(last[k], g.parts, now)
+					f.processes[g.process].Crashed(last[k])
+				}
 				continue
 			}
 			load[k] = append(load[k], g)
