Learn no prefill time from an engine that crashes

Cause: a prefill that an engine breaks off was taken as a lower bound of its time even if it had taken less than expected. An engine that crashes at once taught that it reads 9,190 tokens in a millisecond, and prompts went to decode engines unread. Change: only a time above the expected one counts.

--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -218,8 +218,10 @@
 		if ctx.Err() == nil {
 			d.handleBreak(j, t, began, err)
 		}
-		// The prefill would have taken longer still.
-		d.Estimator.ObservePrefill(j.group.Name, t.ID, p.Tokens, d.Clock.Now()-began)
+		if took := d.Clock.Now() - began; took > p.Prefill {
+			// The prefill would have taken longer still.
+			d.Estimator.ObservePrefill(j.group.Name, t.ID, p.Tokens, took)
+		}
 	}
 	j.excluded[t.ID] = true
 	return nil, err.Error(), err
