Log and count the limits that targets state

The timeline of the stated limits could not tell whether a process had learned of a limit. Processes now log each statement and its end, and have gauges of the limited targets, their rates and the requests sent to them. Nothing is decided by them yet: the tests of the packages pass, and a test of whose statements count is new.

--- /dev/null
+++ b/coordination/throttler/throttler_test.go
@@ -0,0 +1,57 @@
+package throttler_test
+
+import (
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"radishspoke"
+	"radishspoke/coordination/throttler"
+	"radishspoke/internal/simulator"
+	"radishspoke/platform"
+)
+
+// limit returns the headers of an answer that states a limit.
+func limit(rate float64) http.Header {
+	return platform.EncodeAnswer(platform.AnswerHeader{Limit: rate, Limited: true}, "")
+}
+
+// TestStatements checks whose answers state a limit, and which end it.
+func TestStatements(t *testing.T) {
+	c := qt.New(t)
+	clock := &simulator.ManualClock{At: time.Hour}
+	r := throttler.New(clock, slog.New(slog.DiscardHandler))
+	assertLimit := func(want float64) {
+		n, rate := r.Limited()
+		c.Assert(n == 1, qt.Equals, want > 0)
+		c.Assert(rate, qt.Equals, want)
+	}
+	r.Observe("", 200, limit(5))
+	r.Observe("e", http.StatusMisdirectedRequest, limit(5)) // of another instance at the address
+	assertLimit(0)
+	r.Observe("e", 503, limit(17.8))
+	assertLimit(17.8)
+	r.Observe("e", http.StatusEarlyHints, http.Header{})
+	for _, v := range []string{"-1", "NaN", "many"} {
+		r.Observe("e", 200, http.Header{"Server-Limit": {v}})
+		assertLimit(17.8)
+	}
+	r.Observe("e", 200, limit(12))
+	assertLimit(12)
+	r.Observe("e", 200, limit(1e12)) // limits nothing
+	assertLimit(0)
+	r.Observe("e", 200, limit(3))
+	r.Observe("e", 200, http.Header{})
+	assertLimit(0)
+
+	first := radishspoke.Instance{ID: "e", StartTime: time.UnixMilli(1)}
+	again := radishspoke.Instance{ID: "e", StartTime: time.UnixMilli(2)}
+	r.Observe("e", 200, limit(3))
+	r.Keep([]radishspoke.Instance{first})
+	assertLimit(3)
+	r.Keep([]radishspoke.Instance{again}) // it has started again with its id
+	assertLimit(0)
+}
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -31,6 +31,7 @@
 	"radishspoke/coordination/relayer"
 	"radishspoke/coordination/retrier"
 	"radishspoke/coordination/sequencer"
+	"radishspoke/coordination/throttler"
 	"radishspoke/platform"
 	"radishspoke/state/fleetwatcher"
 	"radishspoke/state/gossiper"
@@ -65,6 +66,7 @@
 	storeTime      *timekeeper.Timekeeper
 	quarantiner    *quarantiner.Quarantiner
 	avoider        *avoider.Avoider
+	throttler      *throttler.Throttler
 	recorder       *recorder.Recorder
 	retries        *retryBudgets
 	peerRandom     *rand.Rand // chooses the peer to ask; used by one goroutine only
@@ -153,11 +155,12 @@
 	e.forecaster = forecaster.New(clock)
 	e.quarantiner = quarantiner.New(quarantiner.Settings{}, clock, env.Log)
 	e.avoider = avoider.New(clock, env.Log)
+	e.throttler = throttler.New(clock, env.Log)
 	e.dividers = map[string]*planner.Divider{}
 	e.router = fleetrouter.New(fleetrouter.Settings{Zone: s.Zone}, clock, rand.New(rand.NewPCG(env.Seed, 1)), e.estimator, e.locator, e.forecaster, e.avoider)
 	e.peerRandom = rand.New(rand.NewPCG(env.Seed, 2))
 	e.sequencer = sequencer.New(sequencer.Settings{}, clock)
-	e.targetClient = httpclient.New(httpclient.Settings{OnAnswer: observeAnswer(e.avoider)}, env.Network, clock)
+	e.targetClient = httpclient.New(targetCallbacks(e.avoider, e.throttler), env.Network, clock)
 	e.sidecarClient = httpclient.New(httpclient.Settings{IdleTimeout: sidecarIdleTimeout, DialTimeout: sidecarDialTimeout}, env.Network, clock)
 	e.relayClient = relayer.NewClient(relayer.ClientSettings{Port: s.FirstPort + relayPort, Link: s.Link}, e.sidecarClient, clock, env.Log)
 	e.watcher = fleetwatcher.New(fleetwatcher.Settings{}, e.platformClient, clock, e.mustWatch, env.Log, e.setConfiguration, e.setInstances)
@@ -263,9 +266,17 @@
 		return float64(n)
 	})
 	e.recorder.Gauge("parts_quarantined", func() float64 { return float64(e.quarantiner.Quarantined()) })
+	registerLimits(e.recorder, e.throttler)
 	e.recorder.Gauge("target_connections_opened", func() float64 { return float64(e.targetClient.DialCount()) })
 }
 
+// registerLimits registers the gauges about the limits of targets.
+func registerLimits(r *recorder.Recorder, t *throttler.Throttler) {
+	r.Gauge("targets_limited", func() float64 { n, _ := t.Limited(); return float64(n) })
+	r.Gauge("targets_limited_rate", func() float64 { _, rate := t.Limited(); return rate })
+	r.Gauge("targets_limited_requests", func() float64 { return float64(t.Sent()) })
+}
+
 // serveReady responds to readiness checks of the platform. An entry is not ready
 // if it is stopping, if it has no configuration yet, or if it is cut off from the
 // platform and from other entries for so long that it cannot check keys. Callers
@@ -317,14 +328,21 @@
 	e.sequencer.Keep(l)
 	e.quarantiner.Keep(l)
 	e.avoider.Keep(l)
+	e.throttler.Keep(l)
 	e.router.SetTargets(l)
 	e.relayClient.SetEngines(l)
 }
 
-// observeAnswer returns a callback of an httpclient.Client that records what targets say
-// in their answers.
-func observeAnswer(a *avoider.Avoider) func(*httpclient.Call, int, http.Header) {
-	return func(c *httpclient.Call, status int, h http.Header) { a.Observe(c.Instance, status, h) }
+// targetCallbacks returns the settings of a client that records what targets say in their
+// answers, and how many requests they get.
+func targetCallbacks(a *avoider.Avoider, t *throttler.Throttler) httpclient.Settings {
+	return httpclient.Settings{
+		OnSend: func(c *httpclient.Call) { t.Count(c.Instance) },
+		OnAnswer: func(c *httpclient.Call, status int, h http.Header) {
+			a.Observe(c.Instance, status, h)
+			t.Observe(c.Instance, status, h)
+		},
+	}
 }
 
 // limitPeers returns the entries with which this one shares the teams' limits.
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -20,6 +20,7 @@
 	"radishspoke/coordination/avoider"
 	"radishspoke/coordination/planner"
 	"radishspoke/coordination/relayer"
+	"radishspoke/coordination/throttler"
 	"radishspoke/platform"
 	"radishspoke/protocol/wire"
 	"radishspoke/state/fleetwatcher"
@@ -37,6 +38,7 @@
 	env            Environment
 	engineClient   *httpclient.Client
 	avoider        *avoider.Avoider
+	throttler      *throttler.Throttler
 	watcher        *fleetwatcher.Watcher
 	started        time.Duration
 	lastNotified   atomic.Int64 // clock time of the last notification from an entry, in ns
@@ -109,8 +111,8 @@
 // or 0 to serve none. An error is returned if the port for notifications cannot
 // be opened.
 func NewFleetSidecar(s platform.Settings, env Environment, metricsPort int) (*FleetSidecar, error) {
-	d := &FleetSidecar{prefillShares: map[string]float64{}, settings: s, env: env, started: env.Clock.Now(), avoider: avoider.New(env.Clock, env.Log)}
-	d.engineClient = httpclient.New(httpclient.Settings{OnAnswer: observeAnswer(d.avoider)}, env.Network, env.Clock)
+	d := &FleetSidecar{prefillShares: map[string]float64{}, settings: s, env: env, started: env.Clock.Now(), avoider: avoider.New(env.Clock, env.Log), throttler: throttler.New(env.Clock, env.Log)}
+	d.engineClient = httpclient.New(targetCallbacks(d.avoider, d.throttler), env.Network, env.Clock)
 	client := platform.New(s, env.Network, env.Clock)
 	d.watcher = fleetwatcher.New(fleetwatcher.Settings{Interval: listInterval}, client, env.Clock, d.mustPoll, env.Log,
 		func(*radishspoke.RoutingTable) {}, d.setInstances)
@@ -128,6 +130,7 @@
 	r.Gauge("targets_listed", func() float64 { return float64(len(d.watcher.Instances())) })
 	r.Gauge("requests_running", func() float64 { return float64(d.relayer.Running()) })
 	r.Gauge("orders_accepted", func() float64 { return float64(d.acceptedOrders.Load()) })
+	registerLimits(r, d.throttler)
 	d.metricsServer = newMetricsServer(s.IP, metricsPort, r)
 	return d, nil
 }
@@ -238,6 +241,7 @@
 	defer d.mu.Unlock()
 	d.instances = list
 	d.avoider.Keep(list)
+	d.throttler.Keep(list)
 }
 
 // planLoop plans the role of the engine periodically, and orders the engine to
--- a/transport/httpclient/httpclient.go
+++ b/transport/httpclient/httpclient.go
@@ -44,6 +44,9 @@
 	// SYN packet.
 	DialTimeout time.Duration
 
+	// OnSend, if it is not nil, is called before each call is sent on a connection.
+	OnSend func(c *Call)
+
 	// OnAnswer, if it is not nil, is called with the status and headers of each
 	// response that belongs to a call, informational ones included, before Do returns.
 	OnAnswer func(c *Call, status int, h http.Header)
@@ -94,7 +97,7 @@
 	Header     http.Header
 	Body       []byte
 
-	// Instance is the id of the target's instance, for Settings.OnAnswer. It is empty if
+	// Instance is the id of the target's instance, for the callbacks in Settings. It is empty if
 	// the call is not for a particular instance.
 	Instance string
 
@@ -175,6 +178,9 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	if c.settings.OnSend != nil {
+		c.settings.OnSend(call)
+	}
 	r, err := c.exchange(conn, call)
 	if err != nil {
 		release()
