Log a fingerprint of each request, and requests that plain targets break off

The timeline of the requests that crash targets could not tell whether one request, repeated with new ids, was on all targets that ended. The fingerprint is the same for the same method, host, path, key and body. Nothing is decided by it. The tests of the dispatcher and of package platform pass.

--- a/coordination/fleetdispatcher/failure.go
+++ b/coordination/fleetdispatcher/failure.go
@@ -86,7 +86,7 @@
 
 // logRequest writes the log line of a finished request and counts it. A status
 // of 0 means that the caller disconnected. Some keys of the line differ from the
-// names in the code: turn is the queue time, read the prefill time, sendoff the
+// names in the code: fingerprint is the same for repetitions of a request, turn is the queue time, read the prefill time, sendoff the
 // response time of the last target, first the time from the arrival to the first
 // event, pause the longest gap between events, partial the number of bytes after the
 // last whole event, and left the time to the deadline.
@@ -111,7 +111,7 @@
 	if j.firstEvent > 0 {
 		firstEvent = j.firstEvent - j.arrived
 	}
-	d.Log.Log(context.Background(), level, "request", "id", j.incoming.ID, "route", j.rule.Name, "team", j.team.Name, "status", status,
+	d.Log.Log(context.Background(), level, "request", "id", j.incoming.ID, "route", j.rule.Name, "team", j.team.Name, "status", status, "fingerprint", j.fingerprint,
 		"outcome", outcome, "targets", j.visited, "took", now-j.arrived, "turn", j.queueTime, "read", j.prefill,
 		"sendoff", j.responseTime, "first", firstEvent, "pause", j.longestGap, "framing", j.framing, "partial", j.partial, "left", left)
 }
--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -266,6 +266,7 @@
 	if fail := j.receiveBody(w, r); fail != nil {
 		return fail
 	}
+	j.fingerprint = j.newFingerprint()
 	j.header = platform.ForwardedHeaders(r.Header)
 	limit := defaultDeadline
 	if j.incoming.Deadline > 0 {
--- a/coordination/fleetdispatcher/job.go
+++ b/coordination/fleetdispatcher/job.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"radishspoke"
@@ -24,6 +26,9 @@
 	header               http.Header // without the headers that the system sets itself
 	body                 []byte
 
+	// fingerprint identifies the request among its repetitions, which have other ids.
+	fingerprint string
+
 	arrived  time.Duration
 	deadline time.Duration
 	onTime   time.Duration // latest time of an answer that meets the objective of the route
@@ -63,6 +68,18 @@
 	firstEvent, lastEvent, longestGap time.Duration
 }
 
+// newFingerprint returns what a request has in common with its repetitions by the same
+// caller, at this process and at others: method, host, path, key and body.
+func (j *job) newFingerprint() string {
+	d := xxhash.New()
+	for _, s := range []string{j.method, j.host, j.target, j.key.Hash} {
+		_, _ = d.WriteString(s) // never fails
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(j.body)
+	return strconv.FormatUint(d.Sum64(), 16)
+}
+
 // Callers of streams disconnect if no event arrives for the longest of minPatience,
 // objectivePatience objectives and pausePatience pauses of the route, also before the
 // first event.
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -114,6 +114,7 @@
 	d.Router.Begin(t.ID)
 	attemptCtx, timer := d.startAttempt(ctx, j)
 	defer timer.end()
+	sent := d.Clock.Now()
 	r, err := d.send(attemptCtx, j, t, platform.TargetHeader{})
 	if err != nil {
 		d.Router.End(t.ID, newReport(ctx, nil, err))
@@ -122,6 +123,9 @@
 			j.markRun()
 			d.countBegun(j)
 			d.Targets.CloseIdle(t.Address)
+			if attemptCtx.Err() == nil {
+				d.Log.Warn("request broken off", "id", j.incoming.ID, "target", t.ID, "fingerprint", j.fingerprint, "after", d.Clock.Now()-sent, "error", err)
+			}
 		}
 		return d.decide(ctx, j, mayHaveRun, timer.charged.Load()), err.Error()
 	}
