Quarantine whole requests that crash one target after the other

What callers saw: 502 and 503 for most of 40 s at the booking service, as one request, repeated with new ids and at other entries, ended all its targets each time that they were back; 15 and 17 ended where three and three more may.

Cause: only parts of prompts were related to the crashes of targets. A plain request has none, and a whole generation had no key either.

Why this fix works: a request has a fingerprint (method, host, path, key, body) that its repetitions share. It is one more key of the one quarantine, in datagrams like the parts. Sound requests whose retries met the bad one each time can't be told from it: all are refused for 5 s, then tried again; a completion clears the sound ones, one more crash tells the bad one.

Release by an operator needs a restart of all entries; not built.

--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -55,7 +55,7 @@
 func (d *Dispatcher) serveGeneration(ctx context.Context, j *job, aw *answerWriter) *radishspoke.Failure {
 	lastReason := "no engine"
 	for {
-		if fail := d.checkPrompt(j); fail != nil {
+		if fail := d.checkQuarantine(j); fail != nil {
 			if j.kept != nil {
 				relayer.ReleaseHandle(d.Targets, j.kept.handle, d.Log)
 			}
@@ -80,7 +80,7 @@
 		}
 		fail := d.checkKey(j)
 		if fail == nil {
-			fail = d.checkPrompt(j)
+			fail = d.checkQuarantine(j)
 		}
 		if fail != nil {
 			relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
@@ -180,7 +180,7 @@
 			d.Router.Unpick(t.ID)
 			return prefillPlan{}, d.failure(j, "queue", "the prompt can't be read before the deadline")
 		}
-		if fail := d.checkPrompt(j); fail != nil {
+		if fail := d.checkQuarantine(j); fail != nil {
 			d.Router.Unpick(t.ID)
 			endTurn(0)
 			return prefillPlan{}, fail
--- a/coordination/fleetdispatcher/quarantine.go
+++ b/coordination/fleetdispatcher/quarantine.go
@@ -11,27 +11,37 @@
 	"github.com/pkg/errors"
 
 	"radishspoke"
+	"radishspoke/coordination/quarantiner"
 	"radishspoke/transport/ticker"
 )
 
-// Quarantine tells which prompts must not be sent to engines, because engines crash on
+// Quarantine tells which requests must not be sent to targets, because targets crash on
 // them. See quarantiner.Quarantiner.
 type Quarantine interface {
-	Refuses(group string, parts []radishspoke.PromptPart) (part string, after time.Duration, ok bool)
-	Broken(engine radishspoke.Instance, parts []radishspoke.PromptPart, sent time.Duration)
-	Crashed(engine radishspoke.Instance)
-	Completed(group string, parts []radishspoke.PromptPart)
+	Refuses(s quarantiner.Subject) (k quarantiner.Key, after time.Duration, ok bool)
+	Broken(target radishspoke.Instance, s quarantiner.Subject, sent time.Duration)
+	Crashed(target radishspoke.Instance)
+	Completed(s quarantiner.Subject)
 }
 
-// checkPrompt returns a failure if the prompt of a request must not be sent to engines.
-// It is called before each send because engines may have crashed on a part of the prompt
-// while the request waited.
-func (d *Dispatcher) checkPrompt(j *job) *radishspoke.Failure {
-	part, after, ok := d.Quarantine.Refuses(j.group.Name, j.incoming.Generation.Parts)
+// subject returns the request as the possible cause of a crash.
+func (j *job) subject() quarantiner.Subject {
+	s := quarantiner.Subject{Group: j.group.Name, Request: j.fingerprint}
+	if j.incoming.Generation != nil {
+		s.Parts = j.incoming.Generation.Parts
+	}
+	return s
+}
+
+// checkQuarantine returns a failure if a request must not be sent to targets. It is called
+// before each send because targets may have crashed on the request, or on a part of its
+// prompt, while it waited.
+func (d *Dispatcher) checkQuarantine(j *job) *radishspoke.Failure {
+	cause, after, ok := d.Quarantine.Refuses(j.subject())
 	if !ok {
 		return nil
 	}
-	message := "engines have crashed on part " + part + " of the prompt"
+	message := "targets have crashed on " + cause.String()
 	if j.mayHaveRun {
 		return d.failure(j, "quarantine", message)
 	}
@@ -42,16 +52,17 @@
 // bound it, because a prefill is none.
 const maxBreaks = 2
 
-// handleBreak handles a generation or a prefill, sent to an engine at the given time, that
-// the engine has broken off.
+// handleBreak handles a request or a prefill, sent to a target at the given time, that the
+// target has broken off.
 func (d *Dispatcher) handleBreak(j *job, t radishspoke.Instance, sent time.Duration, reason error) {
 	j.breaks++
-	var ids []string
-	for _, p := range j.incoming.Generation.Parts {
-		ids = append(ids, p.ID)
+	s := j.subject()
+	ids := make([]string, len(s.Parts))
+	for i, p := range s.Parts {
+		ids[i] = p.ID
 	}
-	d.Log.Warn("generation broken off", "id", j.incoming.ID, "engine", t.ID, "parts", strings.Join(ids, ","), "after", d.Clock.Now()-sent, "error", reason)
-	d.Quarantine.Broken(t, j.incoming.Generation.Parts, sent)
+	d.Log.Warn("request broken off", "id", j.incoming.ID, "target", t.ID, "fingerprint", s.Request, "parts", strings.Join(ids, ","), "after", d.Clock.Now()-sent, "error", reason)
+	d.Quarantine.Broken(t, s, sent)
 	d.crashes.check(t, d.Dependencies)
 }
 
@@ -60,21 +71,21 @@
 	// listener.
 	closeDelay = 20 * time.Millisecond
 
-	// probeInterval is the time between two probes of an engine that still listens but
-	// goes on to break generations off.
+	// probeInterval is the time between two probes of a target that still listens but
+	// goes on to break requests off.
 	probeInterval = 200 * time.Millisecond
 )
 
-// crashDetector finds out whether engines that have broken generations off have crashed.
+// crashDetector finds out whether targets that have broken requests off have crashed.
 type crashDetector struct {
 	mu sync.Mutex
 
-	// probing has the ids of the engines that are being probed. The value is whether
-	// the engine has broken off further generations since the probe began.
+	// probing has the ids of the targets that are being probed. The value is whether
+	// the target has broken off further requests since the probe began.
 	probing map[string]bool
 }
 
-// check probes an engine, in the background, and reports a crash if it does not listen
+// check probes a target, in the background, and reports a crash if it does not listen
 // any more.
 func (c *crashDetector) check(t radishspoke.Instance, d Dependencies) {
 	c.mu.Lock()
@@ -90,7 +101,7 @@
 			ticker.Sleep(ctx, delay)
 			err := d.Targets.Probe(ctx, t.Address)
 			if errors.Is(err, syscall.ECONNREFUSED) {
-				d.Log.Warn("engine has crashed", "engine", t.ID, "address", t.Address)
+				d.Log.Warn("target has crashed", "target", t.ID, "address", t.Address)
 				d.Quarantine.Crashed(t)
 			}
 			if !c.again(t.ID) {
@@ -100,7 +111,7 @@
 	}()
 }
 
-// again reports whether an engine must be probed again. If not, it is not being probed
+// again reports whether a target must be probed again. If not, it is not being probed
 // any more.
 func (c *crashDetector) again(id string) bool {
 	c.mu.Lock()
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -84,11 +84,15 @@
 func (d *Dispatcher) servePlain(ctx context.Context, j *job, aw *answerWriter) *radishspoke.Failure {
 	lastReason := "no target"
 	for {
+		if fail := d.checkQuarantine(j); fail != nil {
+			return fail
+		}
 		t, err := d.Router.PickPlain(j.group.Name, j.excluded)
 		if err != nil {
 			return d.noTarget(j, "", "target", lastReason+": "+err.Error())
 		}
 		if fail := d.checkKey(j); fail != nil {
+			d.Router.Unpick(t.ID)
 			return fail
 		}
 		next, reason := d.attemptPlain(ctx, j, aw, t)
@@ -124,7 +128,7 @@
 			d.countBegun(j)
 			d.Targets.CloseIdle(t.Address)
 			if attemptCtx.Err() == nil {
-				d.Log.Warn("request broken off", "id", j.incoming.ID, "target", t.ID, "fingerprint", j.fingerprint, "after", d.Clock.Now()-sent, "error", err)
+				d.handleBreak(j, t, sent, err)
 			}
 		}
 		return d.decide(ctx, j, mayHaveRun, timer.charged.Load()), err.Error()
@@ -143,15 +147,20 @@
 		return d.decide(ctx, j, true, timer.charged.Load()), "answer does not come from a target"
 	}
 	if r.Status >= http.StatusInternalServerError && j.rule.Kind == radishspoke.Safe && d.decide(ctx, j, true, timer.charged.Load()) == retry {
+		d.Quarantine.Completed(j.subject())
 		return retry, "target failed"
 	}
 	timer.reset(j.deadline - d.Clock.Now())
 	if err := aw.copyAnswer(r.Status, r.Header, r); err != nil {
+		if attemptCtx.Err() == nil {
+			d.handleBreak(j, t, sent, err)
+		}
 		if aw.started {
 			return finished, err.Error()
 		}
 		return d.decide(ctx, j, true, timer.charged.Load()), err.Error()
 	}
+	d.Quarantine.Completed(j.subject())
 	return finished, ""
 }
 
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -80,7 +80,7 @@
 	err = d.copyEvents(j, aw, r, timer)
 	d.Recorder.ObserveStream(string(r.framing), err == nil, j.partial > 0)
 	if err == nil {
-		d.Quarantine.Completed(j.group.Name, j.incoming.Generation.Parts)
+		d.Quarantine.Completed(j.subject())
 		d.Estimator.ObserveOutput(j.group.Name, j.incoming.Generation.Output, j.lastEvent-j.firstEvent)
 		return finished, ""
 	}
--- a/coordination/quarantiner/quarantiner.go
+++ b/coordination/quarantiner/quarantiner.go
@@ -11,46 +11,69 @@
 	"radishspoke"
 )
 
-// Key identifies a part of prompts for the engines of one group.
+// Key identifies what requests to the targets of one group may have in common: a part of
+// their prompts, or the whole request, if they are repetitions of one. The other one of Part
+// and Request is empty.
 type Key struct {
-	Group string
-	Part  string
+	Group   string
+	Part    string
+	Request string // fingerprint
 }
 
-// Crash is the crash of an engine during a generation on a part. It has no time of another
+// String returns the part or the request, for messages.
+func (k Key) String() string {
+	if k.Request != "" {
+		return "request " + k.Request
+	}
+	return "part " + k.Part
+}
+
+// Subject is a request as far as it may be the cause of a crash.
+type Subject struct {
+	Group   string
+	Parts   []radishspoke.PromptPart // nil for a request to a plain service
+	Request string                   // fingerprint
+}
+
+// Crash is the crash of a target during a request with a key. It has no time of another
 // process but At, so that passing it on again and again does not change it.
 type Crash struct {
 	Key
 	Engine string        // lifetime of the instance
-	Depth  int           // number of parts before the part in its prompt
+	Depth  int           // number of parts before the part in its prompt, or of shared parts for a whole request
 	At     time.Duration // time at which the engine crashed, on the clock of this process
 
-	// Running is the time before the crash at which the newest request with the part was
-	// sent to the engine.
+	// Running is the time before the crash at which the newest request with the key was
+	// sent to the target.
 	Running time.Duration
 
-	// Cleared tells that a generation on the part was completed after the crash.
+	// Cleared tells that a request with the key was completed after the crash.
 	Cleared bool
 }
 
 // Settings holds the parameters of a Quarantiner. A zero value selects the default.
 type Settings struct {
-	// Crashes is the number of independent crashes after which a part is quarantined. The default of 3 is the least that chance seldom reaches while engines
-	// crash every second.
+	// Crashes is the number of independent crashes after which a key is quarantined. The
+	// default of 3 is the least that chance seldom reaches while engines crash every second.
 	Crashes int
 
-	// Hold is the time after the last crash for which prompts with a quarantined part
+	// Hold is the time after the last crash for which requests with a quarantined key
 	// are refused. The default is 5 min.
 	Hold time.Duration
 
+	// Doubt takes the place of Hold for requests that were on the same crashed targets,
+	// of which one may be the cause. Each is tried again after that. The default is 5 s.
+	Doubt time.Duration
+
 	// ReportFor is the time for which a new or changed crash is passed on to other
-	// processes. Those of quarantined parts are passed on for Hold. The default is 5 s.
+	// processes. Those of quarantined keys are passed on for Hold. The default is 5 s.
 	ReportFor time.Duration
 }
 
 const (
 	defaultCrashes   = 3
 	defaultHold      = 5 * time.Minute
+	defaultDoubt     = 5 * time.Second
 	defaultReportFor = 5 * time.Second
 
 	// breakWindow is the time before the crash of an engine is noticed in which the
@@ -64,9 +87,9 @@
 	// minChange is the least correction of a time that is passed on.
 	minChange = time.Millisecond
 
-	maxParts       = 1024 // parts with crashes
-	maxPartCrashes = 16   // of one part; the newest are kept
-	maxCompletions = 8192 // parts whose last completion is kept
+	maxKeys        = 1024 // keys with crashes
+	maxKeyCrashes  = 16   // of one key; the newest are kept
+	maxCompletions = 8192 // keys whose last completion is kept
 	maxReported    = 64   // crashes in one message; each takes about 60 bytes
 )
 
@@ -77,6 +100,9 @@
 	if s.Hold == 0 {
 		s.Hold = defaultHold
 	}
+	if s.Doubt == 0 {
+		s.Doubt = defaultDoubt
+	}
 	if s.ReportFor == 0 {
 		s.ReportFor = defaultReportFor
 	}
@@ -88,7 +114,7 @@
 	changed time.Duration
 }
 
-// broken is a generation that an engine has broken off.
+// broken is a request that a target has broken off.
 type broken struct {
 	keys []Key
 	sent time.Duration
@@ -103,16 +129,16 @@
 	log      *slog.Logger
 
 	mu          sync.Mutex
-	broken      map[string][]broken      // newest broken generations, by lifetime of the engine
+	broken      map[string][]broken      // newest broken requests, by lifetime of the engine
 	crashes     map[Key][]heldCrash      // in the order of their times
 	crashedAt   map[string]time.Duration // earliest time known, by lifetime of the engine
 	completions map[Key]time.Duration    // last completion by this process
 	quarantined map[Key]time.Duration    // end of the quarantine
-	undecided   bool                     // a part would be quarantined if there was a completion
+	undecided   bool                     // a key would be quarantined if there was a completion
 	served      map[string]time.Duration // last completion by this process, by group
 }
 
-// New returns a Quarantiner that quarantines no part.
+// New returns a Quarantiner that quarantines nothing.
 func New(s Settings, c radishspoke.Clock, log *slog.Logger) *Quarantiner {
 	s.setDefaults()
 	return &Quarantiner{
@@ -122,26 +148,23 @@
 	}
 }
 
-// keysOf returns the keys of the parts of a prompt that other prompts may share. The
-// last part belongs to the request itself.
-func keysOf(group string, parts []radishspoke.PromptPart) []Key {
-	if len(parts) < 2 {
-		return nil
+// keys returns the keys of a request: those of the parts that other prompts may share, and
+// that of the whole. The last part of a prompt belongs to the request itself.
+func (s Subject) keys() []Key {
+	var out []Key
+	for i := range len(s.Parts) - 1 {
+		out = append(out, Key{Group: s.Group, Part: s.Parts[i].ID})
 	}
-	out := make([]Key, len(parts)-1)
-	for i := range out {
-		out[i] = Key{Group: group, Part: parts[i].ID}
+	if s.Request != "" {
+		out = append(out, Key{Group: s.Group, Request: s.Request})
 	}
 	return out
 }
 
-// Broken records that an engine has broken off a generation that was sent to it at the
-// given time. It counts only if Crashed is called soon after.
-func (q *Quarantiner) Broken(t radishspoke.Instance, parts []radishspoke.PromptPart, sent time.Duration) {
-	engine, keys := t.Lifetime(), keysOf(t.Group, parts)
-	if keys == nil {
-		return
-	}
+// Broken records that a target has broken off a request that was sent to it at the given
+// time. It counts only if Crashed is called soon after.
+func (q *Quarantiner) Broken(t radishspoke.Instance, s Subject, sent time.Duration) {
+	engine, keys := t.Lifetime(), s.keys()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
@@ -149,8 +172,8 @@
 	q.broken[engine] = append(list, broken{keys: keys, sent: sent, at: now})
 }
 
-// Crashed records that an engine has crashed. The generations on it that broke off shortly
-// before are recorded as crashes on their parts.
+// Crashed records that a target has crashed. The requests that it broke off shortly before are
+// recorded as crashes on their keys.
 func (q *Quarantiner) Crashed(t radishspoke.Instance) {
 	engine := t.Lifetime()
 	q.mu.Lock()
@@ -168,13 +191,13 @@
 	q.evaluate(now)
 }
 
-// Completed records that a generation was completed.
-func (q *Quarantiner) Completed(group string, parts []radishspoke.PromptPart) {
+// Completed records that a request was completed.
+func (q *Quarantiner) Completed(s Subject) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now, changed := q.clock.Now(), q.undecided
-	q.served[group] = now
-	for _, k := range keysOf(group, parts) {
+	q.served[s.Group] = now
+	for _, k := range s.keys() {
 		if _, known := q.completions[k]; !known && len(q.completions) >= maxCompletions {
 			q.forgetCompletions()
 		}
@@ -190,7 +213,7 @@
 	}
 }
 
-// Keep forgets broken generations of all engines but those listed.
+// Keep forgets the broken requests of all targets but those listed.
 func (q *Quarantiner) Keep(list []radishspoke.Instance) {
 	listed := make(map[string]bool, len(list))
 	for _, i := range list {
@@ -217,24 +240,24 @@
 	}
 }
 
-// Refuses returns the quarantined part of a prompt and the time until it may be tried again.
-// It returns false if the prompt has none.
-func (q *Quarantiner) Refuses(group string, parts []radishspoke.PromptPart) (part string, after time.Duration, ok bool) {
+// Refuses returns the quarantined key of a request and the time until it may be tried again.
+// It returns false if the request has none.
+func (q *Quarantiner) Refuses(s Subject) (k Key, after time.Duration, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.quarantined) == 0 {
-		return "", 0, false
+		return Key{}, 0, false
 	}
 	now := q.clock.Now()
-	for _, k := range keysOf(group, parts) {
+	for _, k := range s.keys() {
 		if until, found := q.quarantined[k]; found && now < until {
-			return k.Part, until - now, true
+			return k, until - now, true
 		}
 	}
-	return "", 0, false
+	return Key{}, 0, false
 }
 
-// Quarantined returns the number of parts in quarantine.
+// Quarantined returns the number of keys in quarantine.
 func (q *Quarantiner) Quarantined() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -242,7 +265,7 @@
 	return len(q.quarantined)
 }
 
-// Report returns the crashes to pass on to other processes. Those of parts with the most
+// Report returns the crashes to pass on to other processes. Those of keys with the most
 // crashes come first.
 func (q *Quarantiner) Report() []Crash {
 	q.mu.Lock()
@@ -259,7 +282,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b Crash) int {
-		return cmp.Or(cmp.Compare(len(q.crashes[b.Key]), len(q.crashes[a.Key])), cmp.Compare(b.At, a.At), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(cmp.Compare(len(q.crashes[b.Key]), len(q.crashes[a.Key])), cmp.Compare(b.At, a.At), cmp.Compare(a.Key.String(), b.Key.String()))
 	})
 	return out[:min(len(out), maxReported)]
 }
@@ -286,13 +309,14 @@
 			return false
 		}
 		list[i].changed = now
-	case !known && len(q.crashes) >= maxParts:
-		return false
 	default:
+		if !known && len(q.crashes) >= maxKeys && !q.forgetCrash() {
+			return false
+		}
 		list = append(list, heldCrash{Crash: c, changed: now})
 	}
 	slices.SortFunc(list, func(a, b heldCrash) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Engine, b.Engine)) })
-	q.crashes[c.Key] = list[max(0, len(list)-maxPartCrashes):]
+	q.crashes[c.Key] = list[max(0, len(list)-maxKeyCrashes):]
 	return true
 }
 
@@ -314,6 +338,20 @@
 // already, as over a connection whose end had not been noticed.
 func (q *Quarantiner) isLate(c Crash) bool { return c.At-c.Running >= q.crashedAt[c.Engine] }
 
+// forgetCrash forgets the key with a single crash that is the oldest of these. It returns
+// false if there is none.
+func (q *Quarantiner) forgetCrash() bool {
+	var oldest Key
+	at, found := time.Duration(0), false
+	for k, list := range q.crashes {
+		if len(list) == 1 && (!found || list[0].At < at) {
+			oldest, at, found = k, list[0].At, true
+		}
+	}
+	delete(q.crashes, oldest)
+	return found
+}
+
 // forgetCompletions forgets the older half of the completions.
 func (q *Quarantiner) forgetCompletions() {
 	times := make([]time.Duration, 0, len(q.completions))
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -25,6 +25,11 @@
 	return out
 }
 
+// subject returns a request with a prompt, without a fingerprint.
+func subject(parts []radishspoke.PromptPart) quarantiner.Subject {
+	return quarantiner.Subject{Group: group, Parts: parts}
+}
+
 // fleet is a set of processes that share one clock.
 type fleet struct {
 	clock     *simulator.ManualClock
@@ -46,7 +51,7 @@
 	f.engines++
 	engine := radishspoke.Instance{ID: fmt.Sprintf("e%d", f.engines), Group: group}
 	for _, p := range prompts {
-		f.processes[process].Broken(engine, p, f.clock.At-running)
+		f.processes[process].Broken(engine, subject(p), f.clock.At-running)
 	}
 	f.processes[process].Crashed(engine)
 }
@@ -68,7 +73,7 @@
 
 // refuses reports whether a process refuses a prompt.
 func (f *fleet) refuses(process int, parts []radishspoke.PromptPart) bool {
-	_, _, ok := f.processes[process].Refuses(group, parts)
+	_, _, ok := f.processes[process].Refuses(subject(parts))
 	return ok
 }
 
@@ -91,11 +96,11 @@
 		f.clock.At += step
 		f.crash(0, running, bad, prompt("first", fmt.Sprint("sound", f.engines)))
 		f.clock.At += step
-		f.processes[0].Completed(group, prompt("first", "other"))
+		f.processes[0].Completed(subject(prompt("first", "other")))
 	}
-	part, after, ok := f.processes[0].Refuses(group, bad)
+	cause, after, ok := f.processes[0].Refuses(subject(bad))
 	c.Assert(ok, qt.IsTrue)
-	c.Assert(part, qt.Equals, "bad")
+	c.Assert(cause.Part, qt.Equals, "bad")
 	c.Assert(after, qt.Equals, 5*time.Minute-step)
 	for _, p := range []string{"sound0", "sound1", "sound2", "other"} {
 		c.Assert(f.refuses(0, prompt("first", p)), qt.IsFalse)
@@ -115,10 +120,10 @@
 	for k := range 3 {
 		f.clock.At += step
 		engine := radishspoke.Instance{ID: "e", Group: group, StartTime: time.UnixMilli(int64(k))}
-		f.processes[0].Broken(engine, bad, f.clock.At-running)
+		f.processes[0].Broken(engine, subject(bad), f.clock.At-running)
 		f.processes[0].Crashed(engine)
 		f.clock.At += step
-		f.processes[0].Completed(group, prompt("first"))
+		f.processes[0].Completed(subject(prompt("first")))
 	}
 	c.Assert(f.refuses(0, bad), qt.IsTrue)
 }
@@ -130,7 +135,7 @@
 	for range 10 {
 		f.crash(0, running, prompt("first", "sound"))
 	}
-	f.processes[0].Completed(group, prompt("other"))
+	f.processes[0].Completed(subject(prompt("other")))
 	f.clock.At += step
 	c.Assert(f.processes[0].Quarantined(), qt.Equals, 0)
 }
@@ -143,16 +148,16 @@
 	late, early := f.processes[0], f.processes[1]
 	for k := range 5 {
 		engine := radishspoke.Instance{ID: fmt.Sprint("e", k), Group: group}
-		early.Broken(engine, prompt("other"), f.clock.At-running)
+		early.Broken(engine, subject(prompt("other")), f.clock.At-running)
 		early.Crashed(engine)
 		f.clock.At += 2 * sameMoment
-		late.Broken(engine, prompt("sound"), f.clock.At)
+		late.Broken(engine, subject(prompt("sound")), f.clock.At)
 		f.clock.At += time.Millisecond
 		late.Crashed(engine)
 		f.exchange(time.Millisecond)
 		f.clock.At += step
-		late.Completed(group, prompt("x"))
-		early.Completed(group, prompt("other"))
+		late.Completed(subject(prompt("x")))
+		early.Completed(subject(prompt("other")))
 		c.Assert(f.refuses(0, prompt("sound")), qt.IsFalse)
 		c.Assert(f.refuses(1, prompt("sound")), qt.IsFalse)
 	}
@@ -177,10 +182,10 @@
 	for range 3 { // the deeper of two parts is quarantined first
 		f.clock.At += step
 		f.crash(0, running, prompt("first", "bad"), prompt("first", "x", "chance"))
-		f.processes[0].Completed(group, prompt("first", "x"))
+		f.processes[0].Completed(subject(prompt("first", "x")))
 	}
 	f.clock.At += step
-	f.processes[0].Completed(group, prompt("first", "x"))
+	f.processes[0].Completed(subject(prompt("first", "x")))
 	c.Assert(f.refuses(0, prompt("first", "x", "chance")), qt.IsTrue)
 	f.crash(0, running, prompt("first", "bad"))
 	c.Assert(f.refuses(0, prompt("first", "bad")), qt.IsTrue)
@@ -198,7 +203,7 @@
 		f.clock.At += step
 		f.crash(i, running, bad)
 		for _, p := range f.processes {
-			p.Completed(group, prompt("first"))
+			p.Completed(subject(prompt("first")))
 		}
 	}
 	f.clock.At += delay
@@ -206,7 +211,7 @@
 		f.exchange(delay)
 	}
 	for i := range f.processes {
-		f.processes[i].Completed(group, prompt("first"))
+		f.processes[i].Completed(subject(prompt("first")))
 		c.Assert(f.processes[i].Quarantined(), qt.Equals, 1)
 		c.Assert(f.refuses(i, bad), qt.IsTrue)
 	}
@@ -227,7 +232,7 @@
 	f.clock.At += time.Minute
 	f.processes[3] = quarantiner.New(quarantiner.Settings{}, f.clock, slog.New(slog.DiscardHandler))
 	f.exchange(delay)
-	f.processes[3].Completed(group, prompt("first"))
+	f.processes[3].Completed(subject(prompt("first")))
 	f.exchange(delay)
 	c.Assert(f.processes[3].Quarantined(), qt.Equals, 1)
 }
@@ -243,9 +248,9 @@
 		f.crash(0, running, sound)
 	}
 	f.clock.At += step
-	f.processes[0].Completed(group, prompt("first"))
+	f.processes[0].Completed(subject(prompt("first")))
 	c.Assert(f.processes[0].Quarantined(), qt.Equals, 1)
-	f.processes[1].Completed(group, sound)
+	f.processes[1].Completed(subject(sound))
 	f.exchange(0)
 	f.exchange(0)
 	c.Assert(f.processes[0].Quarantined(), qt.Equals, 0)
@@ -286,7 +291,7 @@
 			id++
 			engine := radishspoke.Instance{ID: fmt.Sprintf("r%d", id), Group: group}
 			for _, g := range load[k] {
-				f.processes[g.process].Broken(engine, g.parts, g.sent)
+				f.processes[g.process].Broken(engine, subject(g.parts), g.sent)
 			}
 			for _, g := range load[k] {
 				f.processes[g.process].Crashed(engine)
@@ -306,7 +311,7 @@
 						ended = true
 						rest = append(rest, g)
 					case now >= g.end:
-						f.processes[g.process].Completed(group, g.parts)
+						f.processes[g.process].Completed(subject(g.parts))
 					default:
 						rest = append(rest, g)
 					}
@@ -341,7 +346,7 @@
 			}
 			if now < down[k] {
 				if now-at[k] < 2*interval { // the process has not noticed yet
-					f.processes[g.process].Broken(last[k], g.parts, now)
+					f.processes[g.process].Broken(last[k], subject(g.parts), now)
 					f.processes[g.process].Crashed(last[k])
 				}
 				continue
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -265,7 +265,7 @@
 		}
 		return float64(n)
 	})
-	e.recorder.Gauge("parts_quarantined", func() float64 { return float64(e.quarantiner.Quarantined()) })
+	e.recorder.Gauge("causes_quarantined", func() float64 { return float64(e.quarantiner.Quarantined()) })
 	registerLimits(e.recorder, e.throttler)
 	e.recorder.Gauge("target_connections_opened", func() float64 { return float64(e.targetClient.DialCount()) })
 }
--- a/internal/assembler/fleetgossip.go
+++ b/internal/assembler/fleetgossip.go
@@ -72,11 +72,11 @@
 	}
 }
 
-// fillCrashes sets the field about parts of prompts on which engines have crashed.
+// fillCrashes sets the field about requests and parts of prompts on which targets have crashed.
 func (e *FleetEntry) fillCrashes(m *wire.Gossip, now time.Duration) {
 	for _, c := range e.quarantiner.Report() {
 		m.Crashes = append(m.Crashes, &wire.PartCrash{
-			Group: c.Group, Part: c.Part, Engine: c.Engine, Depth: int32(c.Depth),
+			Group: c.Group, Part: c.Part, Request: c.Request, Engine: c.Engine, Depth: int32(c.Depth),
 			AgeUs: (now - c.At).Microseconds(), RunningUs: c.Running.Microseconds(), Cleared: c.Cleared,
 		})
 	}
@@ -87,7 +87,7 @@
 	crashes := make([]quarantiner.Crash, len(m.GetCrashes()))
 	for i, c := range m.GetCrashes() {
 		crashes[i] = quarantiner.Crash{
-			Key: quarantiner.Key{Group: c.GetGroup(), Part: c.GetPart()}, Engine: c.GetEngine(), Depth: int(c.GetDepth()),
+			Key: quarantiner.Key{Group: c.GetGroup(), Part: c.GetPart(), Request: c.GetRequest()}, Engine: c.GetEngine(), Depth: int(c.GetDepth()),
 			At: now - time.Duration(c.GetAgeUs())*time.Microsecond, Running: time.Duration(c.GetRunningUs()) * time.Microsecond, Cleared: c.GetCleared(),
 		}
 	}
