Replace decode engines that their stated limits keep from answers

The division between prefill and decode follows the answers in progress; limits keep these low, so that engines with a limit would be left as the only decode engines, or even fewer kept.

Cause: refused answers are missing from the load that the division follows. Class of fault: demand is measured by what was served. The part of the decode engines' work that limits keep from them is now added, and the recent peak is not forgotten meanwhile. Demand is counted once for each pick, not for each look at a target.

Result: TestLimitedEnginesAreReplaced; the tests of the planner, throttler, router and dispatcher pass.

--- a/coordination/fleetrouter/fleetrouter.go
+++ b/coordination/fleetrouter/fleetrouter.go
@@ -44,6 +44,7 @@
 // Limits tells which targets take further requests from this process, as far as their
 // stated limits allow. See throttler.Throttler.
 type Limits interface {
+	Ask(id string)
 	Admits(id string) bool
 	Take(id string)
 	Return(id string)
@@ -165,6 +166,11 @@
 		}
 		decodeEngines++
 	}
+	for _, t := range r.groups[group] {
+		if t.Role == radishspoke.DecodeRole {
+			r.limits.Ask(t.ID) // the request ends here
+		}
+	}
 	return decodeEngines > 0
 }
 
@@ -307,7 +313,10 @@
 	var out []*target
 	var first *target
 	for _, t := range r.groups[group] {
-		if t.Role != role || exclude[t.ID] || r.avoided.Avoids(t.ID) || !r.limits.Admits(t.ID) {
+		if t.Role != role || exclude[t.ID] || r.avoided.Avoids(t.ID) {
+			continue
+		}
+		if r.limits.Ask(t.ID); !r.limits.Admits(t.ID) {
 			continue
 		}
 		// After an ejection, one request at a time probes the target until one
--- a/coordination/planner/share.go
+++ b/coordination/planner/share.go
@@ -13,6 +13,22 @@
 	Streams  float64 // answers in progress
 	Memory   float64 // tokens that these answers hold in the caches of engines
 	Transfer float64 // engines that would fetch KV caches all the time
+
+	// Limited is the part of the decode engines, in engines, whose work their stated limits
+	// keep from them.
+	Limited float64
+}
+
+// LimitedEngines returns Work.Limited for decode engines with the given limits out of n decode
+// engines that are asked for some answers, all in requests a second.
+func LimitedEngines(limits []float64, n int, asked float64) float64 {
+	lost := 0.0
+	for _, l := range limits {
+		if mean := asked / float64(n); l < mean {
+			lost += 1 - l/mean
+		}
+	}
+	return lost
 }
 
 const (
@@ -49,7 +65,7 @@
 // PrefillShare returns the share of the engines of a group that should prefill. Of n
 // engines, of which prefilling have that role now, those decode that the recent peak
 // of answers needs, by the scarcest of their slots, caches and links. All others
-// prefill. At first, the present division counts as the need of an earlier peak. If
+// prefill. Engines that their limits keep from work are replaced. At first, the present division counts as the need of an earlier peak. If
 // there are too few engines for both, they are divided in proportion. The
 // result ok is false if there is too little work to tell.
 func (d *Divider) PrefillShare(now time.Duration, w Work, l *radishspoke.EngineLimits, n, prefilling int) (share float64, ok bool) {
@@ -69,9 +85,11 @@
 	if !d.known {
 		d.known, d.peak, d.peakAt = true, decodeUse*float64(n-prefilling), now
 	}
-	d.peak = max(decode, d.peak*math.Exp(-float64(now-d.peakAt)/float64(peakLife)))
-	d.peakAt = now
-	decode = d.peak / decodeUse
+	if w.Limited == 0 { // otherwise the answers that were refused are missing
+		d.peak *= math.Exp(-float64(now-d.peakAt) / float64(peakLife))
+	}
+	d.peak, d.peakAt = max(decode, d.peak), now
+	decode = d.peak/decodeUse + w.Limited
 	// Work that has been done can't exceed the engines that did it. Times that were
 	// learned while prompts waited would make it seem so.
 	prefill := min(w.Prefill, float64(prefilling)) / prefillUse
--- a/coordination/planner/share_test.go
+++ b/coordination/planner/share_test.go
@@ -66,3 +66,31 @@
 	c.Assert(run(60, 30) > 0.84, qt.IsTrue)
 	c.Assert(run(2, 500) < 0.6, qt.IsTrue)
 }
+
+// Guards against decode engines that prefill instead when their limits keep answers from them,
+// and against the loss of the answers that limits keep from all decode engines.
+func TestLimitedEnginesAreReplaced(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(planner.LimitedEngines(nil, 3, 160), qt.Equals, 0.0)
+	c.Assert(planner.LimitedEngines([]float64{60, 80}, 3, 160), qt.Equals, 0.0)
+	c.Assert(planner.LimitedEngines([]float64{20, 20, 20}, 3, 160), qt.Equals, 1.875)
+	c.Assert(planner.LimitedEngines([]float64{0, 40}, 2, 160), qt.Equals, 1.5)
+
+	var d planner.Divider
+	work := planner.Work{Prefill: 3, Streams: 60, Transfer: 0.5}
+	now := time.Hour
+	run := func(seconds int) (share float64) {
+		for range seconds {
+			now += time.Second
+			share, _ = d.PrefillShare(now, work, shareLimits, 9, 6)
+		}
+		return share
+	}
+	before := run(120)
+	work.Limited = 1.875
+	work.Streams, work.Transfer = 20, 0.2 // the rest is refused
+	share := run(60)
+	c.Assert(share < before-1.8/9 && share > before-1.95/9, qt.IsTrue, qt.Commentf("%v, before %v", share, before))
+	work.Limited = 0
+	c.Assert(run(120) > share+1.8/9, qt.IsTrue)
+}
--- a/coordination/throttler/share_test.go
+++ b/coordination/throttler/share_test.go
@@ -59,7 +59,10 @@
 	const step = 5 * time.Millisecond
 	for end := s.clock.At + d; s.clock.At < end; s.clock.At += step {
 		for k, p := range s.processes {
-			if s.random.Float64() >= s.demand[k]*step.Seconds() || !p.Admits("e") {
+			if s.random.Float64() >= s.demand[k]*step.Seconds() {
+				continue
+			}
+			if p.Ask("e"); !p.Admits("e") {
 				continue
 			}
 			p.Take("e")
--- a/coordination/throttler/throttler.go
+++ b/coordination/throttler/throttler.go
@@ -151,8 +151,16 @@
 	return int64(now / slotLength)
 }
 
-// Admits reports whether a request may be sent to a target now. Each call counts as demand
-// for the target.
+// Ask records that there is a request for which a target would do.
+func (t *Throttler) Ask(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g, ok := t.targets[id]; ok && g.limited {
+		g.demand.add(1, t.clock.Now())
+	}
+}
+
+// Admits reports whether a request may be sent to a target now.
 func (t *Throttler) Admits(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -160,12 +168,27 @@
 	if !ok || !g.limited {
 		return true
 	}
-	now := t.clock.Now()
-	g.demand.add(1, now)
-	t.advance(id, g, now)
+	t.advance(id, g, t.clock.Now())
 	return len(g.permits.expiries) > 0
 }
 
+// Demand returns the limit of a target, and the rate of the requests at all processes for
+// which it would do, both in requests a second. It returns false if the target has no limit.
+func (t *Throttler) Demand(id string) (asked, limit float64, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g, ok := t.targets[id]
+	if !ok || !g.limited {
+		return 0, 0, false
+	}
+	g.demand.add(0, t.clock.Now())
+	asked = g.demand.rate
+	for _, rate := range g.others {
+		asked += rate
+	}
+	return asked, g.rate, true
+}
+
 // advance draws the permits of a target up to now, and returns the members.
 func (t *Throttler) advance(id string, g *target, now time.Duration) []member {
 	members := t.members(g, now)
--- a/internal/assembler/fleetgossip.go
+++ b/internal/assembler/fleetgossip.go
@@ -242,6 +242,7 @@
 		return out
 	}
 	engines, prefilling := map[string]int{}, map[string]int{}
+	limits, asked := map[string][]float64{}, map[string]float64{} // of decode engines
 	for _, i := range e.watcher.Instances() {
 		if i.Role != "" && !i.Leaving {
 			engines[i.Group]++
@@ -249,6 +250,10 @@
 		if i.Role == radishspoke.PrefillRole && !i.Leaving {
 			prefilling[i.Group]++
 		}
+		if demand, limit, ok := e.throttler.Demand(i.ID); ok && i.Role == radishspoke.DecodeRole && !i.Leaving {
+			limits[i.Group] = append(limits[i.Group], limit)
+			asked[i.Group] = max(asked[i.Group], demand)
+		}
 	}
 	for name, g := range t.Groups {
 		d, ok := e.dividers[name]
@@ -257,7 +262,10 @@
 			e.dividers[name] = d
 		}
 		l := e.forecaster.Total(name)
-		work := planner.Work{Prefill: l.Prefill, Streams: l.Streams, Memory: l.Memory, Transfer: l.Transfer}
+		work := planner.Work{
+			Prefill: l.Prefill, Streams: l.Streams, Memory: l.Memory, Transfer: l.Transfer,
+			Limited: planner.LimitedEngines(limits[name], engines[name]-prefilling[name], asked[name]),
+		}
 		if share, ok := d.PrefillShare(e.env.Clock.Now(), work, g.Engine, engines[name], prefilling[name]); ok {
 			out[name] = share
 		}
