Have targets of the soak state limits, and a request crash them

A target states a limit of 1 to 12 requests a second until the end of the run, and a caller repeats a request that crashes each plain target. The checks are those of the platform: in 4 s at most one and a half times the limit and 5 requests, and at most three sends later than 3 s after the third crash, both for entries in touch.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -121,6 +121,11 @@
 	c.requests++
 	key := c.soak.keys[c.random.IntN(len(c.soak.keys))]
 	id := fmt.Sprintf("%s-%s-%d", key, c.name, c.requests)
+	bad := k.path == badPrefix && c.soak.badRequest.draw(c.random)
+	if bad {
+		key = badKey
+		id = fmt.Sprintf("%s-%s-%d", key, c.name, c.requests)
+	}
 	team, _ := teamOf(id)
 	budget := time.Duration(600+c.random.IntN(1400)) * time.Millisecond
 	abandons := c.random.Float64() < abandonRate
@@ -131,7 +136,7 @@
 		limit = time.Duration(c.random.IntN(40)) * time.Millisecond
 	}
 	_ = c.conn.SetDeadline(began.Add(limit)) // can't fail on an open connection
-	err := c.send(k, id, key, budget)
+	err := c.send(k, id, key, budget, bad)
 	var r *http.Response
 	var body []byte
 	if err == nil {
@@ -163,8 +168,8 @@
 }
 
 // send sends one request. It includes a forged team header, which the entry must
-// replace.
-func (c *caller) send(k requestKind, id, key string, budget time.Duration) error {
+// replace. If bad is set, the request is the one that crashes targets.
+func (c *caller) send(k requestKind, id, key string, budget time.Duration, bad bool) error {
 	h := platform.CallerHeader{ID: id, Secret: key, Deadline: budget, Generation: &radishspoke.GenerationInfo{Prompt: shortPromptTokens, Output: streamEvents}}
 	if k.longPrompt {
 		h.Generation.Prompt = sharedPrefixTokens + uniqueSuffixTokens
@@ -174,9 +179,15 @@
 			c.soak.badPart.recordSent(id, c.entry)
 		}
 	}
+	c.soak.limit.recordSent(id, c.entry)
+	path, content := k.path+"x", requestBody(id)
+	if bad {
+		path, content = badPath, badBody
+		c.soak.badRequest.recordSent(id, c.entry)
+	}
 	header := platform.EncodeRequest(h)
 	platform.ForgeTeam(header, "forged")
-	r, err := http.NewRequest(http.MethodPost, "http://"+hostName+k.path+"x", strings.NewReader(requestBody(id)))
+	r, err := http.NewRequest(http.MethodPost, "http://"+hostName+path, strings.NewReader(content))
 	if err != nil {
 		return errors.Wrap(err, "create request")
 	}
--- a/internal/soaker/badpart.go
+++ b/internal/soaker/crash.go
@@ -10,45 +10,53 @@
 )
 
 const (
-	badPartRate    = 0.1             // share of the long prompts with the bad part, while there is one
-	repairTime     = time.Second     // time for which an engine that has crashed is down
-	contactTime    = 3 * time.Second // time after which an undisturbed entry must know of the fifth crash
-	allowedCrashes = 5
-	allowedAfter   = 3 // requests with the part that may still reach engines
-	badPart        = "bad"
+	badPartRate  = 0.1             // share of the long prompts with the bad part, while there is one
+	badPart      = "bad"           // ID of the part
+	badRate      = 0.1             // share of the reads that are the bad request, while there is one
+	badPrefix    = "/stock/"       // of the route of the bad request
+	badPath      = badPrefix + "bad"
+	badKey       = "t1-k1"         // of the caller of the bad request
+	badBody      = "bad"           // of the bad request
+	repairTime   = time.Second     // time for which a target that has crashed is down
+	contactTime  = 3 * time.Second // time after which an undisturbed entry must know of a crash or a limit
+	allowedAfter = 3               // requests that may still reach targets
 )
 
-// badPartCheck records what happens to requests with a part that crashes engines.
-type badPartCheck struct {
+// crashCheck records what happens to requests that crash targets.
+type crashCheck struct {
+	what    string // all these requests have in common
+	allowed int    // number of crashes after which entries must know
+	rate    float64
+
 	mu      sync.Mutex
 	active  bool
 	crashes []time.Time
 	sent    map[string]*badRequest // by request ID
 }
 
-// badRequest is a request with the bad part.
+// badRequest is a request that crashes targets.
 type badRequest struct {
 	sent     time.Time
 	entry    *process
 	arrivals int // at engines, while the entry was in touch
 }
 
-// setActive sets whether callers send requests with the bad part.
-func (b *badPartCheck) setActive(active bool) {
+// setActive sets whether callers send such requests.
+func (b *crashCheck) setActive(active bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.active = active
 }
 
-// draw reports whether a long prompt gets the bad part.
-func (b *badPartCheck) draw(random *rand.Rand) bool {
+// draw reports whether a request that may be such a one is one.
+func (b *crashCheck) draw(random *rand.Rand) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.active && random.Float64() < badPartRate
+	return b.active && random.Float64() < b.rate
 }
 
-// recordSent records that a caller sends a request with the bad part.
-func (b *badPartCheck) recordSent(id string, entry *process) {
+// recordSent records that a caller sends such a request.
+func (b *crashCheck) recordSent(id string, entry *process) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.sent == nil {
@@ -57,9 +65,9 @@
 	b.sent[id] = &badRequest{sent: time.Now(), entry: entry}
 }
 
-// recordArrival records that a request with the bad part has reached an engine, and
-// whether it crashes the engine.
-func (b *badPartCheck) recordArrival(id string, crashes bool) {
+// recordArrival records that such a request has reached a target, and whether it crashes
+// the target.
+func (b *crashCheck) recordArrival(id string, crashes bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r, ok := b.sent[id]; ok && r.entry.inTouch() {
@@ -70,24 +78,24 @@
 	}
 }
 
-// evaluate returns a finding if too many requests with the bad part have reached engines
-// that were sent later than contactTime after the fifth crash.
-func (b *badPartCheck) evaluate() []Finding {
+// evaluate returns a finding if too many such requests have reached targets that were sent
+// later than contactTime after the last allowed crash.
+func (b *crashCheck) evaluate() []Finding {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.crashes) < allowedCrashes {
+	if len(b.crashes) < b.allowed {
 		return nil
 	}
 	arrived := 0
 	for _, r := range b.sent {
-		if r.sent.After(b.crashes[allowedCrashes-1].Add(contactTime)) {
+		if r.sent.After(b.crashes[b.allowed-1].Add(contactTime)) {
 			arrived += r.arrivals
 		}
 	}
 	if arrived <= allowedAfter {
 		return nil
 	}
-	return []Finding{{"crash", "", fmt.Sprintf("%d requests with a part that crashed %d engines were sent to engines later than %v after the fifth crash", arrived, len(b.crashes), contactTime)}}
+	return []Finding{{"crash", "", fmt.Sprintf("%d requests with a %s that crashed %d targets were sent to targets later than %v after crash %d", arrived, b.what, len(b.crashes), contactTime, b.allowed)}}
 }
 
 // inTouch reports whether the process was neither started, stopped nor disturbed in the
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -99,7 +100,9 @@
 	storeAddress string
 	recorder     *recorder
 	lag          *lagMonitor
-	badPart      badPartCheck
+	badPart      *crashCheck
+	badRequest   *crashCheck
+	limit        limitCheck
 	entries      []*process
 	sidecars     []*process
 	targets      []*target
@@ -126,7 +129,9 @@
 	settings.setDefaults()
 	s := &Soak{
 		settings: settings, directory: directory, store: fake.NewRowStore(), recorder: newRecorder(), lag: &lagMonitor{},
-		keys: []string{"t1-k1", "t1-k2", "t2-k1", "t2-k2"}, withdrawn: map[string]bool{},
+		badPart:    &crashCheck{what: "part", allowed: 5, rate: badPartRate},
+		badRequest: &crashCheck{what: "body", allowed: 3, rate: badRate},
+		keys:       []string{"t1-k1", "t1-k2", "t2-k1", "t2-k2"}, withdrawn: map[string]bool{},
 	}
 	if err := s.setUp(); err != nil {
 		s.close()
@@ -284,7 +289,7 @@
 	close(stopMonitors)
 	monitors.Wait()
 	s.checkUsage()
-	r := &Report{Findings: append(s.recorder.evaluate(), s.badPart.evaluate()...), Directory: s.directory}
+	r := &Report{Findings: slices.Concat(s.recorder.evaluate(), s.badPart.evaluate(), s.badRequest.evaluate(), s.limit.evaluate()), Directory: s.directory}
 	r.Requests, r.Served, r.Refused = len(s.recorder.requests), s.recorder.served, s.recorder.refused
 	for _, f := range r.Findings {
 		s.print("FOUND %s", f)
--- a/internal/soaker/target.go
+++ b/internal/soaker/target.go
@@ -113,10 +113,30 @@
 	return &fake.TargetResponse{Status: status, Header: platform.EncodeAnswer(platform.AnswerHeader{NotRun: true}, "")}
 }
 
-// respond returns the response of the instance with the given ID to a request. It
+// respond returns the response of the instance with the given ID to a request, and states
+// the limit of the target in it.
+func (t *target) respond(id string, r *http.Request, body []byte) *fake.TargetResponse {
+	a := t.handle(id, r, body)
+	if r.URL.Path == platform.ReportPath || r.URL.Path == platform.OrderPath || r.Method == http.MethodDelete {
+		return a
+	}
+	limit, ok := t.soak.limit.recordArrival(t, id, platform.RequestID(r.Header))
+	if a == nil || !ok {
+		return a
+	}
+	if a.Header == nil {
+		a.Header = http.Header{}
+	}
+	for k, v := range platform.EncodeAnswer(platform.AnswerHeader{Limit: limit, Limited: true}, "") {
+		a.Header[k] = v
+	}
+	return a
+}
+
+// handle returns the response of the instance with the given ID to a request. It
 // returns nil, to close the connection without a response, if that instance has been
 // replaced or if the target is faulty and drew that fault.
-func (t *target) respond(id string, r *http.Request, body []byte) *fake.TargetResponse {
+func (t *target) handle(id string, r *http.Request, body []byte) *fake.TargetResponse {
 	t.mu.Lock()
 	pause := time.Duration(t.random.IntN(20)) * time.Millisecond
 	current, role := t.instance == id, t.role
@@ -148,6 +168,12 @@
 		return notRunResponse(http.StatusMisdirectedRequest)
 	}
 	time.Sleep(pause)
+	if r.URL.Path == badPath {
+		t.soak.badRequest.recordArrival(request.ID, true)
+		t.soak.recorder.addExecution(request.ID, id)
+		t.crash()
+		return nil
+	}
 	t.checkRequest(request, body)
 	if hasBadPart(request.Parts) {
 		crashes := role == radishspoke.DecodeRole && !request.PrefillOnly
