--- a/internal/soaker/crash.go
+++ b/internal/soaker/crash.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	badPartRate  = 0.1             // share of the long prompts with the bad part, while there is one
-	badPart      = "bad"           // ID of the part
-	badRate      = 0.1             // share of the reads that are the bad request, while there is one
-	badPrefix    = "/stock/"       // of the route of the bad request
+	badPartRate  = 0.1       // share of the long prompts with the bad part, while there is one
+	badPart      = "bad"     // ID of the part
+	badRate      = 0.1       // share of the reads that are the bad request, while there is one
+	badPrefix    = "/stock/" // of the route of the bad request
 	badPath      = badPrefix + "bad"
 	badKey       = "t1-k1"         // of the caller of the bad request
 	badBody      = "bad"           // of the bad request
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -85,14 +85,14 @@
 	}
 	// The draws of the other faults of a seed must not depend on these.
 	others := rand.New(rand.NewPCG(s.settings.Seed, 4))
-	randomBegin := func() time.Duration {
-		return s.settings.Quiet + time.Duration(others.Int64N(int64(s.settings.Length/2)))
+	// Early, as only what comes later than contactTime counts.
+	early := func() time.Duration {
+		return s.settings.Quiet + time.Duration(others.Int64N(int64(s.settings.Length/8)))
 	}
 	limited := s.targets[others.IntN(len(s.targets))]
-	// Early, as only what comes later than contactTime counts.
-	add(s.settings.Quiet+time.Duration(others.Int64N(int64(s.settings.Length/8))), func() { s.limit.begin(limited, others) }, "target %s states a limit", limited.address)
+	add(early(), func() { s.limit.begin(limited, others) }, "target %s states a limit", limited.address)
 	add(s.settings.Length, s.limit.end, "target %s states no limit any more", limited.address)
-	add(randomBegin(), func() { s.badRequest.setActive(true) }, "a caller repeats a request that crashes targets")
+	add(early(), func() { s.badRequest.setActive(true) }, "a caller repeats a request that crashes targets")
 	add(s.settings.Length, func() { s.badRequest.setActive(false) }, "the caller stops that")
 	begin := s.settings.Quiet + time.Duration(rand.New(rand.NewPCG(s.settings.Seed, 3)).Int64N(int64(s.settings.Length/2)))
 	add(begin, func() { s.badPart.setActive(true) }, "callers send a part that crashes engines")
