Compute the weights of the permits of a target five times a second

One look at a limited target each 10 ms took 947 µs of processor time a second with 103 entries, mostly for the weights of all members. They are kept for 200 ms, as old as the reports of demand are: 264 µs now (BenchmarkSecond, both beside other load).

--- a/coordination/throttler/throttler.go
+++ b/coordination/throttler/throttler.go
@@ -38,7 +38,8 @@
 
 	maxReported = 256 // limits in one report; each takes about 60 bytes
 
-	// membersAge is the age up to which the list of processes is used again.
+	// membersAge is the age up to which the list of processes, and their weights, are used
+	// again.
 	membersAge = 200 * time.Millisecond
 )
 
@@ -53,6 +54,9 @@
 	demand   demand             // at this process
 	others   map[string]float64 // demand at other processes
 	permits  permits
+
+	members   []member // this process first; not older than membersAge
+	membersAt time.Duration
 }
 
 // Settings holds the parameters of a Throttler.
@@ -191,9 +195,11 @@
 
 // advance draws the permits of a target up to now, and returns the members.
 func (t *Throttler) advance(id string, g *target, now time.Duration) []member {
-	members := t.members(g, now)
-	g.permits.advance(id, t.slot(), now, effectiveRate(g.rate), members)
-	return members
+	if g.members == nil || now-g.membersAt > membersAge {
+		g.members, g.membersAt = t.members(g, now), now
+	}
+	g.permits.advance(id, t.slot(), now, effectiveRate(g.rate), g.members)
+	return g.members
 }
 
 // members returns the processes that send requests to a target, this one first. Their
