Restart a target of the soak once at a time

A target that had crashed started again while the plan restarted it as well: both closed the listener that one of them had replaced.

--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -398,7 +398,9 @@
 	}
 	for _, t := range s.targets {
 		t.close()
+		t.restarts.Lock()
 		_ = t.backend.Close()
+		t.restarts.Unlock()
 	}
 	if s.storeServer != nil {
 		_ = s.storeServer.Close()
--- a/internal/soaker/target.go
+++ b/internal/soaker/target.go
@@ -24,7 +24,9 @@
 	soak    *Soak
 	service string
 	address string       // of the proxy, as it is listed in the store
-	backend net.Listener // of the target itself
+	backend net.Listener // of the target itself; guarded by restarts
+
+	restarts sync.Mutex // held during a restart, as one may end a crash while another is planned
 
 	mu         sync.Mutex
 	random     *rand.Rand
@@ -78,6 +80,8 @@
 
 // restart stops the current instance and starts another one at the same address.
 func (t *target) restart() {
+	t.restarts.Lock()
+	defer t.restarts.Unlock()
 	address := t.backend.Addr().String()
 	_ = t.backend.Close()
 	t.setLink(linkState{}, true)
@@ -86,9 +90,7 @@
 		t.soak.recorder.addFinding("soak", "", "target could not be restarted: %v", err)
 		return
 	}
-	t.mu.Lock()
 	t.backend = l
-	t.mu.Unlock()
 	t.startInstance()
 }
 
