--- a/coordination/fleetdispatcher/failure.go
+++ b/coordination/fleetdispatcher/failure.go
@@ -86,10 +86,11 @@
 
 // logRequest writes the log line of a finished request and counts it. A status
 // of 0 means that the caller disconnected. Some keys of the line differ from the
-// names in the code: fingerprint is the same for repetitions of a request, turn is the queue time, read the prefill time, sendoff the
-// response time of the last target, first the time from the arrival to the first
-// event, pause the longest gap between events, partial the number of bytes after the
-// last whole event, and left the time to the deadline.
+// names in the code: fingerprint is the same for repetitions of a request, turn is
+// the queue time, read the prefill time, sendoff the response time of the last
+// target, first the time from the arrival to the first event, pause the longest gap
+// between events, partial the number of bytes after the last whole event, and left
+// the time to the deadline.
 func (d *Dispatcher) logRequest(j *job, status int, outcome string) {
 	now := d.Clock.Now()
 	level := slog.LevelInfo
--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -112,10 +112,9 @@
 	return d.Router.PickDecode(j.group.Name, p.zone, j.excluded)
 }
 
-// planPrefill chooses the engine that prefills the prompt. If the request is to be
-// relayed by the sidecar of that engine, planPrefill returns without waiting.
-// Otherwise it waits for a turn at the engine and, if that is a prefill engine, has
-// the prompt prefilled there. A short prompt needs no turn.
+// planPrefill decides where the prompt is prefilled, and picks the decode engine before
+// that if decode engines have limits. A short prompt needs neither a turn nor an engine of
+// its own. See prefillAt for the others.
 func (d *Dispatcher) planPrefill(ctx context.Context, j *job) (prefillPlan, *radishspoke.Failure) {
 	if !d.readSeparately(j) {
 		return prefillPlan{}, nil
@@ -158,9 +157,10 @@
 	return &t, nil
 }
 
-// prefillAt chooses the engine that prefills the prompt, and has it prefilled there unless
-// the request is to be relayed or the engine is a decode engine. FirstEvent is the time from
-// the end of a prefill to the first event.
+// prefillAt chooses the engine that prefills the prompt. If the request is to be relayed by
+// the sidecar of that engine, prefillAt returns without waiting. Otherwise it waits for a turn
+// at the engine and, if that is a prefill engine, has the prompt prefilled there. FirstEvent
+// is the time from the end of a prefill to the first event.
 func (d *Dispatcher) prefillAt(ctx context.Context, j *job, firstEvent time.Duration) (prefillPlan, *radishspoke.Failure) {
 	for {
 		p, err := d.Router.PickPrefill(j.group, j.incoming.Generation, d.expectedWait, j.startBy-d.Clock.Now()-firstEvent, j.excluded)
