--- a/coordination/fleetdispatcher/failure.go
+++ b/coordination/fleetdispatcher/failure.go
@@ -89,8 +89,9 @@
 // names in the code: fingerprint is the same for repetitions of a request, turn is
 // the queue time, read the prefill time, sendoff the response time of the last
 // target, first the time from the arrival to the first event, pause the longest gap
-// between events, partial the number of bytes after the last whole event, and left
-// the time to the deadline.
+// between events, partial the number of bytes after the last whole event, software the
+// version of the software that generated the stream, attempt the id of the request that
+// began the stream if this one resumes it, and left the time to the deadline.
 func (d *Dispatcher) logRequest(j *job, status int, outcome string) {
 	now := d.Clock.Now()
 	level := slog.LevelInfo
@@ -114,5 +115,5 @@
 	}
 	d.Log.Log(context.Background(), level, "request", "id", j.incoming.ID, "route", j.rule.Name, "team", j.team.Name, "status", status, "fingerprint", j.fingerprint,
 		"outcome", outcome, "targets", j.visited, "took", now-j.arrived, "turn", j.queueTime, "read", j.prefill,
-		"sendoff", j.responseTime, "first", firstEvent, "pause", j.longestGap, "framing", j.framing, "partial", j.partial, "left", left)
+		"sendoff", j.responseTime, "first", firstEvent, "pause", j.longestGap, "framing", j.framing, "partial", j.partial, "software", j.software, "attempt", j.incoming.Resumes, "left", left)
 }
--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -136,6 +136,10 @@
 	// ObserveStream records the end of a stream of a target: how it was framed,
 	// whether it ended without an error, and whether it ended inside an event.
 	ObserveStream(framing string, ended, partial bool)
+
+	// ObserveResumption records a stream that a target has resumed: whether the
+	// caller asked for it, and a word for whether its software version began it.
+	ObserveResumption(byCaller bool, software string)
 }
 
 // Shutdown tells whether a planned shutdown of this process is in progress.
--- a/coordination/fleetdispatcher/job.go
+++ b/coordination/fleetdispatcher/job.go
@@ -60,6 +60,8 @@
 
 	prefillEnd time.Duration // time at which another engine had prefilled the prompt; 0 if none has
 
+	software string // version of the software that generates the stream; empty before its first event
+
 	framing httpclient.Framing // of the last answer of a target; empty if there was none
 	partial int                // bytes after the last whole event, when the last stream ended
 
--- a/internal/assembler/fleetgossip.go
+++ b/internal/assembler/fleetgossip.go
@@ -146,7 +146,7 @@
 		if !c.Gone {
 			out[k] = &wire.TargetChange{
 				Id: i.ID, Group: i.Group, Address: i.Address, Zone: i.Zone, Slots: int32(i.Slots), Role: string(i.Role),
-				Model: i.Model, Leaving: i.Leaving, StartMs: i.StartTime.UnixMilli(),
+				Model: i.Model, Software: i.Software, Leaving: i.Leaving, StartMs: i.StartTime.UnixMilli(),
 			}
 		}
 	}
@@ -161,7 +161,7 @@
 		if !c.GetGone() {
 			out[k].Instance = radishspoke.Instance{
 				ID: c.GetId(), Group: c.GetGroup(), Address: c.GetAddress(), Zone: c.GetZone(), Slots: int(c.GetSlots()), Role: radishspoke.Role(c.GetRole()),
-				Model: c.GetModel(), Leaving: c.GetLeaving(), StartTime: time.UnixMilli(c.GetStartMs()),
+				Model: c.GetModel(), Software: c.GetSoftware(), Leaving: c.GetLeaving(), StartTime: time.UnixMilli(c.GetStartMs()),
 			}
 		}
 	}
--- a/routing.go
+++ b/routing.go
@@ -128,6 +128,7 @@
 	Slots     int
 	Role      Role // PrefillRole or DecodeRole; empty for plain services
 	Model     string
+	Software  string    // version of the target's software; empty if not known
 	Leaving   bool      // shutting down; takes no new requests
 	StartTime time.Time `json:"Born"` // start of the run
 }
--- a/state/fleetwatcher/fleetwatcher.go
+++ b/state/fleetwatcher/fleetwatcher.go
@@ -329,7 +329,7 @@
 func digestOf(list []radishspoke.Instance) uint64 {
 	sum := uint64(1)
 	for _, i := range list {
-		sum += xxhash.Sum64String(fmt.Sprint(i.ID, i.Address, i.Role, i.Leaving, i.StartTime.UnixMilli()))
+		sum += xxhash.Sum64String(fmt.Sprint(i.ID, i.Address, i.Role, i.Leaving, i.StartTime.UnixMilli(), i.Software))
 	}
 	return sum
 }
@@ -374,8 +374,8 @@
 		w.log.Info("target gone", "target", id, "address", i.Address)
 	}
 	for id, i := range next {
-		if old, ok := w.instances[id]; !ok || old.Leaving != i.Leaving || old.Role != i.Role {
-			w.log.Info("target listed", "target", id, "address", i.Address, "zone", i.Zone, "role", i.Role, "leaving", i.Leaving)
+		if old, ok := w.instances[id]; !ok || old.Leaving != i.Leaving || old.Role != i.Role || old.Software != i.Software {
+			w.log.Info("target listed", "target", id, "address", i.Address, "zone", i.Zone, "role", i.Role, "software", i.Software, "leaving", i.Leaving)
 		}
 	}
 	w.instances = next
--- a/state/recorder/recorder.go
+++ b/state/recorder/recorder.go
@@ -42,6 +42,17 @@
 	metrics.GetOrRegisterCounter(fmt.Sprintf("streams_total{framing=%q,ended=\"%t\",partial=\"%t\"}", framing, ended, partial), r.Registry).Inc(1)
 }
 
+// ObserveResumption counts a stream that an engine has resumed: whether the caller or
+// this process asked for it, and whether the software version of the engine is the one
+// that began the stream.
+func (r *Recorder) ObserveResumption(byCaller bool, software string) {
+	by := "entry"
+	if byCaller {
+		by = "caller"
+	}
+	metrics.GetOrRegisterCounter(fmt.Sprintf("streams_resumed_total{by=%q,software=%q}", by, software), r.Registry).Inc(1)
+}
+
 // AddTokens adds n to the number of output tokens that were sent to a team and
 // charged to it.
 func (r *Recorder) AddTokens(team string, n int) {
