Resume streams only at the software version that began them

Cause: the version of an engine was not read, nor which attempt a caller resumes. Each place that chose a target for a stream with events already chose it as for a new request: within one answer, directly and through a sidecar, for a caller's next attempt, and at plain services. Class of fault: state that belongs to a stream (what wrote it so far) was not part of the choice that goes on with it, and ended with the process that held it.

Change: package registrar. A job keeps the version, and the router considers targets of that version only.

--- a/coordination/fleetdispatcher/answer.go
+++ b/coordination/fleetdispatcher/answer.go
@@ -16,6 +16,9 @@
 	w       http.ResponseWriter
 	status  int
 	started bool // the status has been sent
+
+	// begin is called before the head of an answer with status 200 is sent. It may be nil.
+	begin func()
 }
 
 // writeHead sends the status and the headers of the answer of a target.
@@ -27,6 +30,9 @@
 	if _, ok := out["Content-Type"]; !ok {
 		out["Content-Type"] = nil // nil disables content sniffing by the server
 	}
+	if status == http.StatusOK && aw.begin != nil {
+		aw.begin()
+	}
 	aw.status, aw.started = status, true
 	aw.w.WriteHeader(status)
 }
--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -70,12 +70,12 @@
 
 // Router chooses targets. See fleetrouter.Router.
 type Router interface {
-	PickPrefill(group radishspoke.Group, g *radishspoke.GenerationInfo, queueDelay fleetrouter.QueueDelay, left time.Duration, exclude map[string]bool) (fleetrouter.Placement, error)
+	PickPrefill(group radishspoke.Group, g *radishspoke.GenerationInfo, queueDelay fleetrouter.QueueDelay, left time.Duration, sel fleetrouter.Selection) (fleetrouter.Placement, error)
 	RecordPrefill(engine string, g *radishspoke.GenerationInfo)
-	PickDecode(group, from string, exclude map[string]bool) (radishspoke.Instance, error)
-	PickShort(group string, exclude map[string]bool) (radishspoke.Instance, error)
-	PickPlain(group string, exclude map[string]bool) (radishspoke.Instance, error)
-	DecodeSaturated(group string) bool
+	PickDecode(group, from string, sel fleetrouter.Selection) (radishspoke.Instance, error)
+	PickShort(group string, sel fleetrouter.Selection) (radishspoke.Instance, error)
+	PickPlain(group string, sel fleetrouter.Selection) (radishspoke.Instance, error)
+	DecodeSaturated(group, software string) bool
 	Leaving(target string) bool
 	Pause(group string, role radishspoke.Role) (time.Duration, bool)
 	Limited(group string, role radishspoke.Role) bool
@@ -163,6 +163,7 @@
 	Estimator    Estimator
 	Forecaster   Forecaster
 	Quarantine   Quarantine
+	Streams      Streams
 	Answers      Answers
 	Targets      Targets
 	Recorder     Recorder
@@ -215,7 +216,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), j.deadline-d.Clock.Now())
 	defer cancel()
-	aw := &answerWriter{w: w}
+	aw := &answerWriter{w: w, begin: func() { d.beginStream(j) }}
 	fail := d.serve(ctx, j, aw)
 	if fail != nil && !j.mayHaveRun && j.team.Name != "" {
 		d.RateLimiter.Refund(j.team, j.chargedTokens())
@@ -237,6 +238,11 @@
 // serve sends a request to the targets of its group until one answers or no
 // further attempt is allowed.
 func (d *Dispatcher) serve(ctx context.Context, j *job, aw *answerWriter) *radishspoke.Failure {
+	if j.resumesStream() {
+		if fail := d.findVersion(ctx, j); fail != nil {
+			return fail
+		}
+	}
 	d.RetryBudgets.Request(j.group.Name)
 	if j.group.Engine != nil && j.incoming.Generation != nil {
 		return d.serveGeneration(ctx, j, aw)
--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -74,6 +74,9 @@
 			t, err := d.pickDecode(j, p)
 			if err != nil {
 				relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
+				if j.software != "" {
+					return d.noVersion(j)
+				}
 				return d.noTarget(j, radishspoke.DecodeRole, "engine", lastReason+": "+err.Error())
 			}
 			p.decoder = &t
@@ -107,9 +110,9 @@
 // pickDecode chooses the engine that generates the answer.
 func (d *Dispatcher) pickDecode(j *job, p prefillPlan) (radishspoke.Instance, error) {
 	if p.prefillID == "" {
-		return d.Router.PickShort(j.group.Name, j.excluded)
+		return d.Router.PickShort(j.group.Name, j.selection())
 	}
-	return d.Router.PickDecode(j.group.Name, p.zone, j.excluded)
+	return d.Router.PickDecode(j.group.Name, p.zone, j.selection())
 }
 
 // planPrefill decides where the prompt is prefilled, and picks the decode engine before
@@ -125,7 +128,10 @@
 		return prefillPlan{}, d.failure(j, "engine", "no retry is left to read the prompt again")
 	}
 	firstEvent := d.Estimator.Timing(j.group.Name).FirstEvent
-	if d.Router.DecodeSaturated(j.group.Name) {
+	if d.Router.DecodeSaturated(j.group.Name, j.software) {
+		if j.software != "" {
+			return prefillPlan{}, d.noVersion(j)
+		}
 		return prefillPlan{}, d.noTarget(j, radishspoke.DecodeRole, "engine", "no engine takes another answer now")
 	}
 	reserved, fail := d.reserveDecode(j)
@@ -150,7 +156,7 @@
 	if !d.Router.Limited(j.group.Name, radishspoke.DecodeRole) {
 		return nil, nil
 	}
-	t, err := d.Router.PickShort(j.group.Name, j.excluded)
+	t, err := d.Router.PickShort(j.group.Name, j.selection())
 	if err != nil {
 		return nil, d.noTarget(j, radishspoke.DecodeRole, "engine", err.Error())
 	}
@@ -163,7 +169,7 @@
 // is the time from the end of a prefill to the first event.
 func (d *Dispatcher) prefillAt(ctx context.Context, j *job, firstEvent time.Duration) (prefillPlan, *radishspoke.Failure) {
 	for {
-		p, err := d.Router.PickPrefill(j.group, j.incoming.Generation, d.expectedWait, j.startBy-d.Clock.Now()-firstEvent, j.excluded)
+		p, err := d.Router.PickPrefill(j.group, j.incoming.Generation, d.expectedWait, j.startBy-d.Clock.Now()-firstEvent, j.selection())
 		if err != nil {
 			return prefillPlan{}, d.noTarget(j, "", "engine", err.Error())
 		}
--- a/coordination/fleetdispatcher/job.go
+++ b/coordination/fleetdispatcher/job.go
@@ -60,7 +60,11 @@
 
 	prefillEnd time.Duration // time at which another engine had prefilled the prompt; 0 if none has
 
-	software string // version of the software that generates the stream; empty before its first event
+	current radishspoke.Instance // target of the current attempt
+
+	// software is the version of the software that began the stream. It is empty before
+	// the first event of a new stream, and if the version is not known.
+	software string
 
 	framing httpclient.Framing // of the last answer of a target; empty if there was none
 	partial int                // bytes after the last whole event, when the last stream ended
@@ -97,9 +101,11 @@
 	return max(minPatience, objectivePatience*r.Objective, pausePatience*r.Pause)
 }
 
-// idempotent reports whether the request may run more than once.
+// idempotent reports whether the request may run more than once. A stream may not if it has
+// begun at a software version that is not known.
 func (j *job) idempotent() bool {
-	return j.rule.Kind == radishspoke.Safe || j.rule.Kind == radishspoke.Streaming && j.rule.Resumable
+	begun := j.firstEvent > 0 || j.incoming.LastEvent != ""
+	return j.rule.Kind == radishspoke.Safe || j.rule.Kind == radishspoke.Streaming && j.rule.Resumable && (!begun || j.software != "")
 }
 
 // receiveBody reads the request body into j.body. It returns a failure if the
--- a/coordination/fleetdispatcher/leaving_test.go
+++ b/coordination/fleetdispatcher/leaving_test.go
@@ -25,7 +25,7 @@
 	leaving map[string]bool
 }
 
-func (s *stubRouter) DecodeSaturated(string) bool { return false }
+func (s *stubRouter) DecodeSaturated(string, string) bool { return false }
 
 func (s *stubRouter) Limited(string, radishspoke.Role) bool { return false }
 
@@ -33,9 +33,9 @@
 
 func (s *stubRouter) Leaving(id string) bool { return s.leaving[id] }
 
-func (s *stubRouter) PickPrefill(_ radishspoke.Group, _ *radishspoke.GenerationInfo, _ fleetrouter.QueueDelay, _ time.Duration, exclude map[string]bool) (fleetrouter.Placement, error) {
+func (s *stubRouter) PickPrefill(_ radishspoke.Group, _ *radishspoke.GenerationInfo, _ fleetrouter.QueueDelay, _ time.Duration, sel fleetrouter.Selection) (fleetrouter.Placement, error) {
 	for _, e := range s.engines {
-		if !exclude[e.ID] {
+		if !sel.Exclude[e.ID] {
 			return fleetrouter.Placement{Engine: e}, nil
 		}
 	}
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -87,7 +87,10 @@
 		if fail := d.checkQuarantine(j); fail != nil {
 			return fail
 		}
-		t, err := d.Router.PickPlain(j.group.Name, j.excluded)
+		t, err := d.Router.PickPlain(j.group.Name, j.selection())
+		if err != nil && j.software != "" {
+			return d.noVersion(j)
+		}
 		if err != nil {
 			return d.noTarget(j, "", "target", lastReason+": "+err.Error())
 		}
@@ -115,6 +118,7 @@
 // caller. It also returns the reason of a failure, or "" if the answer was copied.
 func (d *Dispatcher) attemptPlain(ctx context.Context, j *job, aw *answerWriter, t radishspoke.Instance) (decision, string) {
 	j.visit(t)
+	j.current = t
 	d.Router.Begin(t.ID)
 	attemptCtx, timer := d.startAttempt(ctx, j)
 	defer timer.end()
@@ -151,6 +155,7 @@
 		return retry, "target failed"
 	}
 	timer.reset(j.deadline - d.Clock.Now())
+	d.recordResumption(j)
 	if err := aw.copyAnswer(r.Status, r.Header, r); err != nil {
 		if attemptCtx.Err() == nil {
 			d.handleBreak(j, t, sent, err)
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -9,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"radishspoke"
 	"radishspoke/coordination/fleetrouter"
 	"radishspoke/coordination/relayer"
 	"radishspoke/coordination/sequencer"
@@ -23,6 +22,7 @@
 // the last event. It also returns the reason of a failure, or "" if there is none.
 func (d *Dispatcher) attemptStream(ctx context.Context, j *job, aw *answerWriter, plan prefillPlan) (decision, string) {
 	t := *plan.decoder
+	j.current = t
 	defer plan.end(0)
 	j.visit(t)
 	d.Router.Begin(t.ID)
@@ -78,7 +78,7 @@
 		}
 		return finished, ""
 	}
-	d.recordResumption(j, t)
+	d.recordResumption(j)
 	err = d.copyEvents(j, aw, r, timer)
 	d.Recorder.ObserveStream(string(r.framing), err == nil, j.partial > 0)
 	if err == nil {
@@ -93,27 +93,6 @@
 	return d.decide(ctx, j, true, timer.charged.Load()), err.Error()
 }
 
-// recordResumption records that an engine has begun to answer a request, if it resumes a
-// stream.
-func (d *Dispatcher) recordResumption(j *job, t radishspoke.Instance) {
-	before := j.software
-	j.software = t.Software
-	if j.incoming.LastEvent == "" {
-		return
-	}
-	byCaller, software := j.firstEvent == 0, "unknown"
-	switch {
-	case before == "" || t.Software == "":
-	case before == t.Software:
-		software = "same"
-	default:
-		software = "other"
-	}
-	d.Recorder.ObserveResumption(byCaller, software)
-	d.Log.Info("stream resumed", "id", j.incoming.ID, "attempt", j.incoming.Resumes, "after", j.incoming.LastEvent,
-		"target", t.ID, "software", t.Software, "before", before, "caller", byCaller)
-}
-
 // openStream sends a request to the decode engine, directly or through the
 // sidecar of the prefill engine. It also returns the time that the decode engine
 // took to answer.
--- a/coordination/fleetrouter/fleetrouter.go
+++ b/coordination/fleetrouter/fleetrouter.go
@@ -91,6 +91,20 @@
 	}
 }
 
+// Selection restricts the targets that are considered for a request.
+type Selection struct {
+	Exclude map[string]bool // ids of targets that are not considered
+
+	// Software is the version of the software that has to write the answer. It is empty
+	// for any.
+	Software string
+}
+
+// allows reports whether a target may be chosen. A prompt may be prefilled by any version.
+func (s Selection) allows(t *target) bool {
+	return !s.Exclude[t.ID] && (s.Software == "" || s.Software == t.Software || t.Role == radishspoke.PrefillRole)
+}
+
 // target holds what is known about one target.
 type target struct {
 	radishspoke.Instance
@@ -150,9 +164,10 @@
 	r.targets, r.groups = next, groups
 }
 
-// DecodeSaturated reports whether a group has decode engines and all of them are
-// ejected, avoided or at their limit, so that prefilling a prompt would be wasted work.
-func (r *Router) DecodeSaturated(group string) bool {
+// DecodeSaturated reports whether a group has decode engines and all of them that have the
+// given version of the software, or any if it is empty, are ejected, avoided or at their
+// limit, so that prefilling a prompt would be wasted work.
+func (r *Router) DecodeSaturated(group, software string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
@@ -161,10 +176,13 @@
 		if t.Role != radishspoke.DecodeRole {
 			continue
 		}
+		decodeEngines++
+		if software != "" && t.Software != software {
+			continue
+		}
 		if now >= t.ejectedUntil && !r.avoided.Avoids(t.ID) && r.limits.Admits(t.ID) {
 			return false
 		}
-		decodeEngines++
 	}
 	for _, t := range r.groups[group] {
 		if t.Role == radishspoke.DecodeRole {
@@ -225,13 +243,12 @@
 func (r *Router) Unpick(id string) { r.limits.Return(id) }
 
 // PickDecode returns the engine that generates an answer after another engine,
-// in the availability zone from, has prefilled the prompt. Targets in exclude are
-// not considered. The error is ErrNoTarget.
-func (r *Router) PickDecode(group, from string, exclude map[string]bool) (radishspoke.Instance, error) {
+// in the availability zone from, has prefilled the prompt. The error is ErrNoTarget.
+func (r *Router) PickDecode(group, from string, sel Selection) (radishspoke.Instance, error) {
 	transfer := r.timings.Timing(group).Transfer
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.leastCost(r.usable(group, radishspoke.DecodeRole, exclude), func(t *target) time.Duration {
+	return r.leastCost(r.usable(group, radishspoke.DecodeRole, sel), func(t *target) time.Duration {
 		cost := t.waitingCost(transfer) + time.Duration(t.inFlight+1)*t.transfer(transfer)
 		if t.Zone != from {
 			cost += r.settings.CrossZoneCost
@@ -242,11 +259,11 @@
 
 // PickShort returns the engine that prefills a short prompt and generates the
 // answer. Targets in exclude are not considered. The error is ErrNoTarget.
-func (r *Router) PickShort(group string, exclude map[string]bool) (radishspoke.Instance, error) {
+func (r *Router) PickShort(group string, sel Selection) (radishspoke.Instance, error) {
 	transfer := r.timings.Timing(group).Transfer
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.leastCost(r.usable(group, radishspoke.DecodeRole, exclude), func(t *target) time.Duration {
+	return r.leastCost(r.usable(group, radishspoke.DecodeRole, sel), func(t *target) time.Duration {
 		return t.waitingCost(transfer) + time.Duration(t.inFlight)*transfer
 	}, transfer)
 }
@@ -275,12 +292,12 @@
 // service, and of each one in flight beyond half of the slots of the target.
 const plainRequestCost = 30 * time.Millisecond
 
-// PickPlain returns the target of a plain service that has the least cost. Targets
-// in exclude are not considered. The error is ErrNoTarget.
-func (r *Router) PickPlain(group string, exclude map[string]bool) (radishspoke.Instance, error) {
+// PickPlain returns the target of a plain service that has the least cost. The error is
+// ErrNoTarget.
+func (r *Router) PickPlain(group string, sel Selection) (radishspoke.Instance, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.leastCost(r.usable(group, "", exclude), func(t *target) time.Duration {
+	return r.leastCost(r.usable(group, "", sel), func(t *target) time.Duration {
 		return time.Duration(max(0, t.inFlight+1-t.slots/2)+t.waiting) * plainRequestCost
 	}, plainRequestCost)
 }
@@ -304,16 +321,16 @@
 	return best.Instance, nil
 }
 
-// usable returns the targets of a group and role that are neither excluded nor avoided nor
+// usable returns the targets of a group and role that sel allows and that are not avoided nor
 // at their limit nor ejected nor paused after lost KV caches. If there are none, it returns
-// the target whose ejection or pause ends first, unless all are excluded, avoided or at their
-// limit.
-func (r *Router) usable(group string, role radishspoke.Role, exclude map[string]bool) []*target {
+// the target whose ejection or pause ends first, unless none is allowed, or all are avoided or at
+// their limit.
+func (r *Router) usable(group string, role radishspoke.Role, sel Selection) []*target {
 	now := r.clock.Now()
 	var out []*target
 	var first *target
 	for _, t := range r.groups[group] {
-		if t.Role != role || exclude[t.ID] || r.avoided.Avoids(t.ID) {
+		if t.Role != role || !sel.allows(t) || r.avoided.Avoids(t.ID) {
 			continue
 		}
 		if r.limits.Ask(t.ID); !r.limits.Admits(t.ID) {
--- a/coordination/fleetrouter/fleetrouter_test.go
+++ b/coordination/fleetrouter/fleetrouter_test.go
@@ -55,7 +55,7 @@
 
 // pickPrefill has the router choose an engine and has the engine prefill the prompt.
 func pickPrefill(r *fleetrouter.Router, part string, d fleetrouter.QueueDelay) (radishspoke.Instance, error) {
-	p, err := r.PickPrefill(group, generation(part), d, time.Minute, nil)
+	p, err := r.PickPrefill(group, generation(part), d, time.Minute, fleetrouter.Selection{})
 	if err == nil {
 		r.RecordPrefill(p.Engine.ID, generation(part))
 	}
@@ -125,7 +125,7 @@
 			return 300 * ms
 		}
 		return 15 * ms
-	}, 200*ms, nil)
+	}, 200*ms, fleetrouter.Selection{})
 	c.Assert(err, qt.IsNil)
 	c.Assert(p.Engine.ID, qt.Not(qt.Equals), preferred.ID)
 }
@@ -150,7 +150,7 @@
 			c := qt.New(t)
 			r, _ := newRouter(1, "z0", engines(6, 3))
 			linked := radishspoke.Group{Name: "g", Engine: &radishspoke.EngineLimits{CacheTokens: 1_000_000, TokenBytes: 328_000, Link: k.link}}
-			first, err := r.PickPrefill(linked, generation("p"), idleDelay, time.Second, nil)
+			first, err := r.PickPrefill(linked, generation("p"), idleDelay, time.Second, fleetrouter.Selection{})
 			c.Assert(err, qt.IsNil)
 			c.Assert(first.Tokens, qt.Equals, 9190) // nothing is cached yet
 			r.RecordPrefill(first.Engine.ID, generation("p"))
@@ -159,7 +159,7 @@
 					return k.queue
 				}
 				return 0
-			}, time.Second, nil)
+			}, time.Second, fleetrouter.Selection{})
 			c.Assert(err, qt.IsNil)
 			c.Assert(next.Engine.ID != first.Engine.ID, qt.Equals, k.moves)
 			if k.fetch {
@@ -184,7 +184,7 @@
 	e, err := pickPrefill(r, "p", idleDelay)
 	c.Assert(err, qt.IsNil)
 	c.Assert(e.Role, qt.Equals, radishspoke.DecodeRole)
-	_, err = r.PickPrefill(radishspoke.Group{Name: "other"}, generation("p"), idleDelay, time.Minute, nil)
+	_, err = r.PickPrefill(radishspoke.Group{Name: "other"}, generation("p"), idleDelay, time.Minute, fleetrouter.Selection{})
 	c.Assert(err, qt.ErrorIs, fleetrouter.ErrNoTarget)
 }
 
@@ -194,7 +194,7 @@
 	r, _ := newRouter(1, "z0", engines(6, 3))
 	inFlight := map[string]int{}
 	for range 60 {
-		e, err := r.PickShort("g", nil)
+		e, err := r.PickShort("g", fleetrouter.Selection{})
 		c.Assert(err, qt.IsNil)
 		r.Begin(e.ID)
 		inFlight[e.ID]++
@@ -214,7 +214,7 @@
 	chosen := func(n int) map[string]int {
 		out := map[string]int{}
 		for range n {
-			e, err := r.PickShort("g", nil)
+			e, err := r.PickShort("g", fleetrouter.Selection{})
 			c.Assert(err, qt.IsNil)
 			out[e.ID]++
 			r.Begin(e.ID)
@@ -251,7 +251,7 @@
 		r.End("e1", fleetrouter.Report{Source: "e0", ResponseTime: 80 * ms})
 	}
 	for range 8 {
-		e, err := r.PickDecode("g", "z0", nil)
+		e, err := r.PickDecode("g", "z0", fleetrouter.Selection{})
 		c.Assert(err, qt.IsNil)
 		c.Assert(e.ID, qt.Equals, "e2")
 		r.Begin(e.ID)
@@ -299,18 +299,18 @@
 func TestDecodeSaturated(t *testing.T) {
 	c := qt.New(t)
 	r, clock := newRouter(1, "z0", engines(1, 2))
-	c.Assert(r.DecodeSaturated("g"), qt.IsFalse)
+	c.Assert(r.DecodeSaturated("g", ""), qt.IsFalse)
 	for _, id := range []string{"e1", "e2"} {
-		c.Assert(r.DecodeSaturated("g"), qt.IsFalse)
+		c.Assert(r.DecodeSaturated("g", ""), qt.IsFalse)
 		for range 2 {
 			r.Begin(id)
 			r.End(id, fleetrouter.Report{NotReady: true})
 		}
 	}
-	c.Assert(r.DecodeSaturated("g"), qt.IsTrue)
-	c.Assert(r.DecodeSaturated("none"), qt.IsFalse)
+	c.Assert(r.DecodeSaturated("g", ""), qt.IsTrue)
+	c.Assert(r.DecodeSaturated("none", ""), qt.IsFalse)
 	clock.At += 600 * ms
-	c.Assert(r.DecodeSaturated("g"), qt.IsFalse)
+	c.Assert(r.DecodeSaturated("g", ""), qt.IsFalse)
 }
 
 // TestLeaving checks that a leaving target gets no requests and that statistics
@@ -322,11 +322,11 @@
 	list[0].Leaving = true
 	r.SetTargets(list)
 	for range 10 {
-		e, err := r.PickShort("g", nil)
+		e, err := r.PickShort("g", fleetrouter.Selection{})
 		c.Assert(err, qt.IsNil)
 		c.Assert(e.ID, qt.Equals, "e1")
 	}
-	_, err := r.PickShort("g", map[string]bool{"e1": true})
+	_, err := r.PickShort("g", fleetrouter.Selection{Exclude: map[string]bool{"e1": true}})
 	c.Assert(err, qt.ErrorIs, fleetrouter.ErrNoTarget)
 	r.Begin("e1")
 	r.End("e1", fleetrouter.Report{NoResponse: true})
@@ -334,7 +334,7 @@
 	r.SetTargets(list) // discards the statistics of the earlier lifetime
 	seen := map[string]bool{}
 	for range 20 {
-		e, err := r.PickShort("g", nil)
+		e, err := r.PickShort("g", fleetrouter.Selection{})
 		c.Assert(err, qt.IsNil)
 		seen[e.ID] = true
 		r.Begin(e.ID)
--- a/coordination/fleetrouter/prefill.go
+++ b/coordination/fleetrouter/prefill.go
@@ -48,26 +48,25 @@
 }
 
 // PickPrefill returns the engine that prefills a prompt. It prefers those that are
-// expected to have read it within the time left. Targets in exclude are not
-// considered. PickPrefill returns a decode engine if no prefill engine is left, and
-// ErrNoTarget if no decode engine is left either.
-func (r *Router) PickPrefill(group radishspoke.Group, g *radishspoke.GenerationInfo, queueDelay QueueDelay, left time.Duration, exclude map[string]bool) (Placement, error) {
+// expected to have read it within the time left. PickPrefill returns a decode engine if
+// no prefill engine is left, and ErrNoTarget if no decode engine is left either.
+func (r *Router) PickPrefill(group radishspoke.Group, g *radishspoke.GenerationInfo, queueDelay QueueDelay, left time.Duration, sel Selection) (Placement, error) {
 	timing := r.timings.Timing(group.Name)
 	ttl := r.cacheTTL(group)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := prefillChoice{router: r, group: group, left: left, timing: timing, ttl: ttl, exclude: exclude}
+	c := prefillChoice{router: r, group: group, left: left, timing: timing, ttl: ttl, exclude: sel.Exclude}
 	c.shared, c.own = splitPrompt(g)
 	c.sharedTokens = max(0, g.Prompt-c.own)
 	c.preferred = r.preferred(group.Name, c.shared)
 	if c.shared != "" {
 		c.holders = r.parts.Holders(c.shared, ttl)
 	}
-	for _, t := range r.usable(group.Name, radishspoke.PrefillRole, exclude) {
+	for _, t := range r.usable(group.Name, radishspoke.PrefillRole, sel) {
 		c.consider(t, queueDelay(t.ID), 1)
 	}
 	if c.best == nil {
-		for _, t := range r.usable(group.Name, radishspoke.DecodeRole, exclude) {
+		for _, t := range r.usable(group.Name, radishspoke.DecodeRole, sel) {
 			c.consider(t, queueDelay(t.ID), decodePrefillFactor)
 		}
 	}
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -28,6 +28,7 @@
 	"radishspoke/coordination/locator"
 	"radishspoke/coordination/planner"
 	"radishspoke/coordination/quarantiner"
+	"radishspoke/coordination/registrar"
 	"radishspoke/coordination/relayer"
 	"radishspoke/coordination/retrier"
 	"radishspoke/coordination/sequencer"
@@ -67,6 +68,9 @@
 	quarantiner    *quarantiner.Quarantiner
 	avoider        *avoider.Avoider
 	throttler      *throttler.Throttler
+	registry       *registrar.Registry
+	history        *registrar.History
+	registrar      *registrar.Registrar
 	recorder       *recorder.Recorder
 	retries        *retryBudgets
 	peerRandom     *rand.Rand // chooses the peer to ask; used by one goroutine only
@@ -178,10 +182,13 @@
 		return nil, fmt.Errorf("listen for datagrams: %w", err)
 	}
 	e.udpConn = conn
+	e.registry, e.history = registrar.NewRegistry(clock), registrar.NewHistory(clock)
+	e.registrar = registrar.New(registrar.Settings{}, e.registry, e.history,
+		&streamTransport{process: s.Name, firstPort: s.FirstPort, conn: conn, client: e.sidecarClient, clock: clock, log: env.Log}, clock, env.Log)
 	e.gossiper = gossiper.New(gossiper.Settings{Process: s.Name, Address: address}, e.table, conn, clock, env.Log, e.fillGossip, e.handleGossip)
 	f := fleetdispatcher.New(fleetdispatcher.Dependencies{
 		Tables: e.watcher, Keys: e.auth, KeyTrust: e, RateLimiter: e.limiter, RetryBudgets: e.retries, Usage: e.biller, Router: e.router,
-		PromptQueue: e.sequencer, RelayClient: e.relayClient, Estimator: e.estimator, Forecaster: e.forecaster, Quarantine: e.quarantiner, Answers: answerObserver{e.avoider, e.throttler}, Targets: e.targetClient, Shutdown: e, Recorder: e.recorder, Clock: clock, Log: env.Log,
+		PromptQueue: e.sequencer, RelayClient: e.relayClient, Estimator: e.estimator, Forecaster: e.forecaster, Quarantine: e.quarantiner, Streams: e.registrar, Answers: answerObserver{e.avoider, e.throttler}, Targets: e.targetClient, Shutdown: e, Recorder: e.recorder, Clock: clock, Log: env.Log,
 	})
 	logger := slog.NewLogLogger(env.Log.Handler(), slog.LevelDebug)
 	e.callerServer = &http.Server{
@@ -265,6 +272,7 @@
 		}
 		return float64(n)
 	})
+	e.recorder.Gauge("streams_recorded", func() float64 { return float64(e.registry.Len()) })
 	e.recorder.Gauge("causes_quarantined", func() float64 { return float64(e.quarantiner.Quarantined()) })
 	registerLimits(e.recorder, e.throttler)
 	e.recorder.Gauge("target_connections_opened", func() float64 { return float64(e.targetClient.DialCount()) })
@@ -329,6 +337,7 @@
 	e.quarantiner.Keep(l)
 	e.avoider.Keep(l)
 	e.throttler.Keep(l)
+	e.registrar.SetTargets(l)
 	e.router.SetTargets(l)
 	e.relayClient.SetEngines(l)
 }
@@ -413,5 +422,8 @@
 	ticker.Each(ctx, t, sweepInterval, func() {
 		e.targetClient.CloseExpired()
 		e.sidecarClient.CloseExpired()
+		if e.env.Clock.Now()-e.watcher.Proof() > maxProofAge {
+			e.history.Restart() // changes of the list of targets may have been missed
+		}
 	})
 }
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -13,12 +13,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"radishspoke"
 	"radishspoke/coordination/avoider"
 	"radishspoke/coordination/planner"
+	"radishspoke/coordination/registrar"
 	"radishspoke/coordination/relayer"
 	"radishspoke/coordination/throttler"
 	"radishspoke/platform"
@@ -45,6 +47,9 @@
 	udpConn        net.PacketConn
 	metricsServer  *http.Server
 	relayer        *relayer.Relayer
+	registry       *registrar.Registry
+	history        *registrar.History
+	registrar      *registrar.Registrar
 	relayServer    *http.Server
 	acceptedOrders atomic.Int64 // number of orders accepted by the engine
 	stopTasks      context.CancelFunc
@@ -122,13 +127,20 @@
 	}
 	d.udpConn = conn
 	d.relayer = relayer.New(relayer.Settings{Engine: s.Engine}, d.engineClient, d.avoider, env.Clock, env.Log)
+	d.registry, d.history = registrar.NewRegistry(env.Clock), registrar.NewHistory(env.Clock)
+	d.registrar = registrar.New(registrar.Settings{}, d.registry, d.history,
+		&streamTransport{process: s.Name, firstPort: s.FirstPort, conn: conn, client: d.engineClient, clock: env.Clock, log: env.Log}, env.Clock, env.Log)
+	requests := mux.NewRouter()
+	requests.Handle(relayer.Path, d.relayer)
+	requests.HandleFunc(streamPath, d.serveStream)
 	d.relayServer = &http.Server{
-		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort+relayPort)), Handler: d.relayer, ReadHeaderTimeout: headerTimeout,
+		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort+relayPort)), Handler: requests, ReadHeaderTimeout: headerTimeout,
 		IdleTimeout: serverIdleTimeout, ErrorLog: slog.NewLogLogger(env.Log.Handler(), slog.LevelDebug),
 	}
 	r := recorder.New()
 	r.Gauge("targets_listed", func() float64 { return float64(len(d.watcher.Instances())) })
 	r.Gauge("requests_running", func() float64 { return float64(d.relayer.Running()) })
+	r.Gauge("streams_recorded", func() float64 { return float64(d.registry.Len()) })
 	r.Gauge("orders_accepted", func() float64 { return float64(d.acceptedOrders.Load()) })
 	registerLimits(r, d.throttler)
 	d.metricsServer = newMetricsServer(s.IP, metricsPort, r)
@@ -161,12 +173,14 @@
 	return nil
 }
 
-// Stop ends the sidecar. It refuses new relayed requests, waits for those in
+// Stop ends the sidecar. It passes its records of streams on, refuses new relayed requests, waits for those in
 // progress, and aborts those that have not ended shortly before the end of the
 // platform's grace period.
 func (d *FleetSidecar) Stop() {
 	d.relayer.Stop()
+	d.registrar.HandOver(d.settings.IP)
 	time.Sleep(refusalTime)
+	d.registrar.HandOver(d.settings.IP) // with the records that came meanwhile
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Bounds.Grace-refusalTime-stopMargin)
 	if err := d.relayServer.Shutdown(ctx); err != nil {
 		d.env.Log.Warn("requests aborted at the end of the grace period", "requests", d.relayer.Running(), "error", err)
@@ -198,6 +212,10 @@
 			d.env.Log.Debug("datagram not decoded", "error", err)
 			continue
 		}
+		if len(m.GetStreams()) > 0 {
+			d.receiveStreams(m.GetStreams())
+			continue
+		}
 		now := d.env.Clock.Now()
 		d.lastNotified.Store(int64(now))
 		d.updateShares(m.GetPrefillShares())
@@ -248,6 +266,7 @@
 	d.instances = list
 	d.avoider.Keep(list)
 	d.throttler.Keep(list)
+	d.registrar.SetTargets(list)
 }
 
 // planLoop plans the role of the engine periodically, and orders the engine to
@@ -255,6 +274,9 @@
 func (d *FleetSidecar) planLoop(ctx context.Context) {
 	for ticker.Sleep(ctx, listInterval/2) {
 		d.engineClient.CloseExpired()
+		if !d.listCurrent() {
+			d.history.Restart()
+		}
 		if err := d.applyPlannedRole(ctx); err != nil {
 			d.env.Log.Warn("role not changed", "engine", d.settings.Engine, "error", err)
 		}
