Read the list of targets before a sidecar passes its records of streams on

Cause: sidecars that stop together chose the holders by their last list, on which the engines that leave were not marked yet, as no entry was there to tell them. They passed the records to each other.

Change: a stopping sidecar reads the list once before it passes them on.

--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -178,7 +178,7 @@
 // platform's grace period.
 func (d *FleetSidecar) Stop() {
 	d.relayer.Stop()
-	d.registrar.HandOver(d.settings.IP)
+	d.handOverStreams()
 	time.Sleep(refusalTime)
 	d.registrar.HandOver(d.settings.IP) // with the records that came meanwhile
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Bounds.Grace-refusalTime-stopMargin)
--- a/internal/assembler/fleetstreams.go
+++ b/internal/assembler/fleetstreams.go
@@ -140,6 +140,17 @@
 	d.registry.Put(records...)
 }
 
+// handOverStreams passes the records of streams on. It reads the list of targets before, as
+// sidecars that stop together must not pass them to each other.
+func (d *FleetSidecar) handOverStreams() {
+	ctx, cancel := context.WithTimeout(context.Background(), refusalTime)
+	defer cancel()
+	if err := d.watcher.ReadInstances(ctx); err != nil {
+		d.env.Log.Warn("records of streams are passed on by an old list of targets", "error", err)
+	}
+	d.registrar.HandOver(d.settings.IP)
+}
+
 // listCurrent reports whether the list of targets is known to be current.
 func (d *FleetSidecar) listCurrent() bool {
 	_, read := d.watcher.Digest()
--- a/internal/assembler/fleetversion_test.go
+++ b/internal/assembler/fleetversion_test.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"radishspoke"
+	"radishspoke/coordination/registrar"
 	"radishspoke/internal/fake"
 	"radishspoke/platform"
 	"radishspoke/transport/eventreader"
@@ -44,14 +46,32 @@
 }
 
 // listVersioned starts an engine at an address and lists it.
-func listVersioned(c *qt.C, rows *fake.RowStore, ip, software string) {
+func listVersioned(c *qt.C, rows *fake.RowStore, ip, software string) radishspoke.Instance {
 	id := "e-" + ip
 	l, err := net.Listen("tcp", ip+":0")
 	c.Assert(err, qt.IsNil)
 	server := &http.Server{Handler: &versionedEngine{id, software}}
 	go func() { _ = server.Serve(l) }()
 	c.Cleanup(func() { _ = server.Close() })
-	listTarget(c, rows, radishspoke.Instance{ID: id, Group: "llm", Role: radishspoke.DecodeRole, Address: l.Addr().String(), Software: software})
+	i := radishspoke.Instance{ID: id, Group: "llm", Role: radishspoke.DecodeRole, Address: l.Addr().String(), Software: software}
+	listTarget(c, rows, i)
+	return i
+}
+
+// versionedSidecar is a sidecar with its engine.
+type versionedSidecar struct {
+	*FleetSidecar
+	engine radishspoke.Instance
+}
+
+// startSidecar starts an engine and its sidecar at an address.
+func startSidecar(c *qt.C, rows *fake.RowStore, s platform.Settings, ip, software string) versionedSidecar {
+	i := listVersioned(c, rows, ip, software)
+	s.Name, s.IP, s.Engine, s.Group = "side-"+ip, ip, i.Address, "llm"
+	d, err := NewFleetSidecar(s, fleetEnv(), 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(d.Start(), qt.IsNil)
+	return versionedSidecar{d, i}
 }
 
 // phoneConfig returns the row value of a configuration with a resumable streaming route.
@@ -126,13 +146,7 @@
 	rows.Put(platform.OperatorTable, platform.ConfigurationKey, phoneConfig(c))
 	s := fleetSettings(c, strings.TrimPrefix(store.URL, "http://"))
 	for k := range engines {
-		ip := fmt.Sprintf("127.0.1.%d", k+1)
-		listVersioned(c, rows, ip, fmt.Sprint("v", 1+k%2))
-		s.Name, s.IP, s.Engine, s.Group = "side-"+ip, ip, ip+":1", "llm"
-		d, err := NewFleetSidecar(s, fleetEnv(), 0)
-		c.Assert(err, qt.IsNil)
-		c.Assert(d.Start(), qt.IsNil)
-		defer d.Stop()
+		defer startSidecar(c, rows, s, fmt.Sprintf("127.0.1.%d", k+1), fmt.Sprint("v", 1+k%2)).Stop()
 	}
 	var fleet []*FleetEntry
 	for k := range 2 {
@@ -166,3 +180,52 @@
 	// that went on.
 	c.Assert(goOn, qt.Equals, streams)
 }
+
+// Guards against records of streams that were lost in a release: sidecars that stopped
+// together passed them to each other, while no entry told them which engines were leaving.
+func TestStoppingSidecarsPassRecordsOn(t *testing.T) {
+	const old, streams = 5, 40
+	c := qt.New(t)
+	rows := fake.NewRowStore()
+	store := httptest.NewServer(rows)
+	defer store.Close()
+	rows.Put(platform.OperatorTable, platform.ConfigurationKey, phoneConfig(c))
+	s := fleetSettings(c, strings.TrimPrefix(store.URL, "http://"))
+	var leaving []versionedSidecar
+	for k := range old {
+		leaving = append(leaving, startSidecar(c, rows, s, fmt.Sprintf("127.0.2.%d", k+1), "v1"))
+	}
+	s.Name, s.IP = "front-1", "127.0.0.4"
+	e := startVersioned(c, s, old)
+	for _, d := range leaving {
+		for len(d.watcher.Instances()) < old || d.mustPoll() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for n := range streams {
+		status, _ := openStream(c, e, platform.CallerHeader{ID: fmt.Sprint("s", n)})
+		c.Assert(status, qt.Equals, http.StatusOK)
+	}
+	e.kill()
+	var staying []versionedSidecar
+	for k := range 3 {
+		staying = append(staying, startSidecar(c, rows, s, fmt.Sprintf("127.0.3.%d", k+1), "v2"))
+	}
+	for _, d := range leaving {
+		d.engine.Leaving = true
+		listTarget(c, rows, d.engine)
+	}
+	var stops sync.WaitGroup
+	for _, d := range leaving {
+		stops.Go(d.Stop)
+	}
+	stops.Wait()
+	known := map[registrar.Key]bool{}
+	for _, d := range staying {
+		for _, o := range d.registry.Records() {
+			known[o.Key] = true
+		}
+		d.Stop()
+	}
+	c.Assert(len(known), qt.Equals, streams)
+}
--- a/state/fleetwatcher/fleetwatcher.go
+++ b/state/fleetwatcher/fleetwatcher.go
@@ -256,9 +256,7 @@
 // RunInstances reads the list of targets until ctx ends.
 func (w *Watcher) RunInstances(ctx context.Context) {
 	for ctx.Err() == nil {
-		list, err := w.source.Instances(ctx, func(err error) { w.log.Debug("unreadable target skipped", "error", err) })
-		w.HandleList(list, err)
-		if err != nil {
+		if err := w.ReadInstances(ctx); err != nil {
 			ticker.Sleep(ctx, retryPause)
 			continue
 		}
@@ -266,6 +264,16 @@
 	}
 }
 
+// ReadInstances reads the list of targets once. After an error the list stays as it is.
+func (w *Watcher) ReadInstances(ctx context.Context) error {
+	list, err := w.source.Instances(ctx, func(err error) { w.log.Debug("unreadable target skipped", "error", err) })
+	w.HandleList(list, err)
+	if err != nil {
+		return fmt.Errorf("read list of targets: %w", err)
+	}
+	return nil
+}
+
 // await returns when the list has to be read again, or when ctx ends.
 func (w *Watcher) await(ctx context.Context) {
 	start := w.clock.Now()
