--- a/coordination/planner/roles_test.go
+++ b/coordination/planner/roles_test.go
@@ -91,3 +91,33 @@
 		}
 	})
 }
+
+// Guards against LOST of issue 34: in a release, all decode engines of the old software
+// version became prefill engines, and its streams could not be resumed at those of the new one.
+func TestLastDecodeEngineOfVersionStays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 40).Draw(t, "engines")
+		engines := instances(string(rapid.SliceOfN(rapid.SampledFrom([]byte("dp")), n, n).Draw(t, "roles")))
+		before, after := map[string]bool{}, map[string]bool{}
+		for i := range engines {
+			engines[i].Software = rapid.SampledFrom([]string{"v1", "v1.1", "v1.2"}).Draw(t, "software")
+			if engines[i].Role == radishspoke.DecodeRole {
+				before[engines[i].Software] = true
+			}
+		}
+		changes := planner.RoleChanges(engines, planner.Mix{PrefillShare: rapid.Float64Range(0.1, 0.9).Draw(t, "prefill")})
+		for _, e := range engines {
+			if r, ok := changes[e.ID]; ok {
+				e.Role = r
+			}
+			if e.Role == radishspoke.DecodeRole {
+				after[e.Software] = true
+			}
+		}
+		for v := range before {
+			if !after[v] {
+				t.Fatalf("no decode engine of %s is left of %v by %v", v, engines, changes)
+			}
+		}
+	})
+}
