Begin streams at software versions that have several decode engines

What callers saw: a stream that begins at the only decode engine of a version cannot be resumed after that engine has failed.

Change: new streams go to engines whose version has another decode engine, unless requests wait at all of these.

Evidence: TestStreamsBeginWhereTheyCanBeResumed failed before (any engine was chosen) and passes.

--- a/coordination/fleetdispatcher/resumption.go
+++ b/coordination/fleetdispatcher/resumption.go
@@ -93,4 +93,3 @@
 	}
 	return d.failure(j, "stream", "no target with the software version that began the stream takes it; begin the request anew")
 }
-
--- a/coordination/fleetrouter/fleetrouter.go
+++ b/coordination/fleetrouter/fleetrouter.go
@@ -347,6 +347,31 @@
 	if len(out) == 0 && first != nil {
 		out = append(out, first)
 	}
+	if sel.Software == "" && role == radishspoke.DecodeRole {
+		return withOthersOfVersion(out)
+	}
+	return out
+}
+
+// withOthersOfVersion returns the targets in list whose software version has a further one
+// there. A stream that begins at another target cannot be resumed after that one has failed.
+// If none of them is without waiting requests, it returns the whole list.
+func withOthersOfVersion(list []*target) []*target {
+	count := map[string]int{}
+	for _, t := range list {
+		count[t.Software]++
+	}
+	var out []*target
+	idle := false
+	for _, t := range list {
+		if count[t.Software] > 1 {
+			out = append(out, t)
+			idle = idle || t.waiting == 0
+		}
+	}
+	if !idle {
+		return list
+	}
 	return out
 }
 
