Break a stream off before a response that its engine writes into it

What callers saw, in a report of other operators: the head of an error in the middle of their stream.

Cause: a blank line ends the head of an HTTP response as it ends an event, so that a head inside the body of a stream passed for an event.

Change: whole events before a status line are passed on; then the stream counts as broken off and is resumed elsewhere if it may be.

--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -176,8 +176,14 @@
 		n, err := r.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		if end := eventreader.End(pending); end > 0 {
-			if err := d.forwardEvents(j, aw, r, pending[:end]); err != nil {
-				return err
+			events, foreign := eventreader.BeforeResponse(pending[:end])
+			if len(events) > 0 {
+				if err := d.forwardEvents(j, aw, r, events); err != nil {
+					return err
+				}
+			}
+			if foreign {
+				return eventreader.ErrBrokenOff
 			}
 			pending = append(pending[:0], pending[end:]...)
 			timer.reset(maxEventGap) // only whole events show that the engine goes on
--- a/transport/eventreader/eventreader.go
+++ b/transport/eventreader/eventreader.go
@@ -31,6 +31,25 @@
 	return end
 }
 
+// BeforeResponse returns the part of whole events before the first one that begins with the
+// status line of an HTTP response, and false if there is none. The sender has then begun
+// another response inside the stream, which belongs to no event.
+func BeforeResponse(events []byte) ([]byte, bool) {
+	for start := 0; start < len(events); {
+		if bytes.HasPrefix(events[start:], []byte("HTTP/")) {
+			return events[:start], true
+		}
+		next := len(events)
+		for _, l := range blankLines {
+			if i := bytes.Index(events[start:next], l); i >= 0 {
+				next = start + i + len(l)
+			}
+		}
+		start = next
+	}
+	return events, false
+}
+
 // Check makes the body of a response end with ErrBrokenOff, instead of io.EOF, if
 // the response is a stream of events and was broken off. The framing of the body
 // does not tell: a sender that fails may still end its framing, and if there is
--- a/transport/eventreader/eventreader_test.go
+++ b/transport/eventreader/eventreader_test.go
@@ -55,3 +55,13 @@
 	fmt.Printf("%q\n", b[eventreader.End(b):])
 	// Output: "data: sec"
 }
+
+func ExampleBeforeResponse() {
+	events, found := eventreader.BeforeResponse([]byte("data: first\n\nHTTP/1.1 500 Internal Server Error\r\nDate: x\r\n\r\n"))
+	fmt.Printf("%q %t\n", events, found)
+	events, found = eventreader.BeforeResponse([]byte("data: HTTP/1.1\n\nid: 2\r\ndata: b\r\n\r\n"))
+	fmt.Printf("%q %t\n", events, found)
+	// Output:
+	// "data: first\n\n" true
+	// "data: HTTP/1.1\n\nid: 2\r\ndata: b\r\n\r\n" false
+}
