Try requests that are suspected together by one entry at a time

Cause: requests that were on the same crashed targets are all refused for 5 s and then tried again, to find the bad one. They were released at all entries at one moment, while their callers pressed, so that the bad one went to several targets before the first crash was known.

Change: a suspect is on trial after that. One entry, chosen by rendezvous hashing of the key and the second, may send one request with it; the number of entries doubles each 5 s. A completion clears it, a crash ends the doubt.

Evidence: TestSuspectsAreTriedOneAtATime failed before (1,500 sends in half a second before anything was known) and passes.

--- a/coordination/fleetdispatcher/budget_test.go
+++ b/coordination/fleetdispatcher/budget_test.go
@@ -38,7 +38,7 @@
 	router := &stubRouter{leaving: map[string]bool{}, engines: []radishspoke.Instance{{ID: "e", Role: radishspoke.DecodeRole}}}
 	budgets := &stubBudgets{left: 1}
 	d := New(Dependencies{
-		Quarantine: quarantiner.New(quarantiner.Settings{}, clock, slog.New(slog.DiscardHandler)),
+		Quarantine: quarantiner.New(quarantiner.Settings{}, clock, slog.New(slog.DiscardHandler), func() []string { return nil }),
 		Router:     router, PromptQueue: &stubQueue{router: router}, RelayClient: stubRelay{}, RetryBudgets: budgets,
 		Estimator: estimator.New(clock), Forecaster: forecaster.New(clock), Clock: clock,
 	})
--- a/coordination/fleetdispatcher/job.go
+++ b/coordination/fleetdispatcher/job.go
@@ -42,6 +42,7 @@
 	counted    bool            // the request is counted as begun
 	attempts   int             // number of attempts in which a target may have run the request
 	breaks     int             // number of engines that have broken the request off
+	trial      bool            // the request is suspected to crash targets, and may be sent once
 	visited    string          // comma-separated ids of the targets, for the log
 
 	unreachable bool // the prompt cannot be prefilled before the deadline
--- a/coordination/fleetdispatcher/quarantine.go
+++ b/coordination/fleetdispatcher/quarantine.go
@@ -18,6 +18,7 @@
 // Quarantine tells which requests must not be sent to targets, because targets crash on
 // them. See quarantiner.Quarantiner.
 type Quarantine interface {
+	Admit(s quarantiner.Subject) quarantiner.Decision
 	Refuses(s quarantiner.Subject) (k quarantiner.Key, after time.Duration, ok bool)
 	Broken(target radishspoke.Instance, s quarantiner.Subject, sent time.Duration)
 	Crashed(target radishspoke.Instance)
@@ -37,9 +38,19 @@
 // before each send because targets may have crashed on the request, or on a part of its
 // prompt, while it waited.
 func (d *Dispatcher) checkQuarantine(j *job) *radishspoke.Failure {
-	cause, after, ok := d.Quarantine.Refuses(j.subject())
-	if !ok {
-		return nil
+	var cause quarantiner.Key
+	var after time.Duration
+	if j.trial {
+		var refused bool
+		if cause, after, refused = d.Quarantine.Refuses(j.subject()); !refused {
+			return nil
+		}
+	} else {
+		c := d.Quarantine.Admit(j.subject())
+		if j.trial = c.Trial; c.Admitted {
+			return nil
+		}
+		cause, after = c.Key, c.After
 	}
 	message := "targets have crashed on " + cause.String()
 	if j.mayHaveRun {
@@ -56,6 +67,7 @@
 // target has broken off.
 func (d *Dispatcher) handleBreak(j *job, t radishspoke.Instance, sent time.Duration, reason error) {
 	j.breaks++
+	j.trial = false
 	s := j.subject()
 	ids := make([]string, len(s.Parts))
 	for i, p := range s.Parts {
--- a/coordination/fleetdispatcher/stream_test.go
+++ b/coordination/fleetdispatcher/stream_test.go
@@ -47,7 +47,7 @@
 func copyFrom(c *qt.C, serve func(net.Conn)) (string, time.Duration, error) {
 	clock := ticker.NewMonotonicClock()
 	d := New(Dependencies{
-		Quarantine: quarantiner.New(quarantiner.Settings{}, clock, slog.New(slog.DiscardHandler)),
+		Quarantine: quarantiner.New(quarantiner.Settings{}, clock, slog.New(slog.DiscardHandler), func() []string { return nil }),
 		Clock:      clock, Estimator: estimator.New(clock), Recorder: recorder.New(), RetryBudgets: &stubBudgets{left: 1},
 		Targets: httpclient.New(httpclient.Settings{}, pipe{serve: serve}, clock),
 	})
--- a/coordination/quarantiner/evaluate.go
+++ b/coordination/quarantiner/evaluate.go
@@ -19,7 +19,7 @@
 	}
 	maps.DeleteFunc(q.crashedAt, func(_ string, at time.Duration) bool { return now-at > q.settings.Hold })
 	q.undecided = false
-	quarantined := map[Key]time.Duration{}
+	quarantined, trials := map[Key]time.Duration{}, map[Key]*trial{}
 	explained := map[string]bool{} // engines whose crash a quarantined key explains
 	for {
 		worst, ok := q.worst(explained)
@@ -35,9 +35,13 @@
 				continue
 			}
 			explained[c.Engine] = true
-			if until := c.At + hold; now < until {
-				for _, k := range suspects {
-					quarantined[k] = until
+			until := c.At + hold
+			for _, k := range suspects {
+				switch {
+				case now < until:
+					quarantined[k] = max(quarantined[k], until)
+				case len(suspects) > 1:
+					trials[k] = q.trialSince(k, until)
 				}
 			}
 		}
@@ -47,12 +51,26 @@
 			q.log.Warn("in quarantine", "group", k.Group, "cause", k, "engines", engines(q.crashes[k]), "for", quarantined[k]-now)
 		}
 	}
+	for k := range quarantined {
+		delete(trials, k)
+	}
 	for k := range q.quarantined {
 		if _, ok := quarantined[k]; !ok {
-			q.log.Warn("released from quarantine", "group", k.Group, "cause", k)
+			_, tried := trials[k]
+			q.log.Warn("released from quarantine", "group", k.Group, "cause", k, "trial", tried)
 		}
 	}
-	q.quarantined = quarantined
+	q.quarantined, q.trials = quarantined, trials
+}
+
+// trialSince returns the state of a key that is tried again, whose quarantine ended at until.
+func (q *Quarantiner) trialSince(k Key, until time.Duration) *trial {
+	t, ok := q.trials[k]
+	if !ok {
+		t = &trial{}
+	}
+	t.since = max(t.since, until)
+	return t
 }
 
 // worst returns the key with the most independent crashes, and false if all have fewer than
--- a/coordination/quarantiner/quarantiner.go
+++ b/coordination/quarantiner/quarantiner.go
@@ -28,6 +28,17 @@
 	return "part " + k.Part
 }
 
+// Decision tells whether a request may be sent to a target.
+type Decision struct {
+	Admitted bool
+	Trial    bool // the request is tried again: it may be sent once
+
+	// Key is the key for which the request is refused, and After the time until it may be
+	// tried again.
+	Key   Key
+	After time.Duration
+}
+
 // Subject is a request as far as it may be the cause of a crash.
 type Subject struct {
 	Group   string
@@ -53,6 +64,9 @@
 
 // Settings holds the parameters of a Quarantiner. A zero value selects the default.
 type Settings struct {
+	// Process is the name of this process among those that share their crashes.
+	Process string
+
 	// Crashes is the number of independent crashes after which a key is quarantined. The
 	// default of 3 is the least that chance seldom reaches while engines crash every second.
 	Crashes int
@@ -62,7 +76,8 @@
 	Hold time.Duration
 
 	// Doubt takes the place of Hold for requests that were on the same crashed targets,
-	// of which one may be the cause. Each is tried again after that. The default is 5 s.
+	// of which one may be the cause. After that each is tried again, by one process at a
+	// time. The default is 5 s.
 	Doubt time.Duration
 
 	// ReportFor is the time for which a new or changed crash is passed on to other
@@ -127,6 +142,7 @@
 	settings Settings
 	clock    radishspoke.Clock
 	log      *slog.Logger
+	peers    func() []string // names of the other processes
 
 	mu          sync.Mutex
 	broken      map[string][]broken      // newest broken requests, by lifetime of the engine
@@ -134,15 +150,17 @@
 	crashedAt   map[string]time.Duration // earliest time known, by lifetime of the engine
 	completions map[Key]time.Duration    // last completion by this process
 	quarantined map[Key]time.Duration    // end of the quarantine
+	trials      map[Key]*trial           // keys that are tried again
 	undecided   bool                     // a key would be quarantined if there was a completion
 	served      map[string]time.Duration // last completion by this process, by group
 }
 
-// New returns a Quarantiner that quarantines nothing.
-func New(s Settings, c radishspoke.Clock, log *slog.Logger) *Quarantiner {
+// New returns a Quarantiner that quarantines nothing. The function peers returns the names of
+// the other processes.
+func New(s Settings, c radishspoke.Clock, log *slog.Logger, peers func() []string) *Quarantiner {
 	s.setDefaults()
 	return &Quarantiner{
-		settings: s, clock: c, log: log,
+		settings: s, clock: c, log: log, peers: peers, trials: map[Key]*trial{},
 		broken: map[string][]broken{}, crashes: map[Key][]heldCrash{}, completions: map[Key]time.Duration{}, quarantined: map[Key]time.Duration{},
 		served: map[string]time.Duration{}, crashedAt: map[string]time.Duration{},
 	}
@@ -240,14 +258,44 @@
 	}
 }
 
-// Refuses returns the quarantined key of a request and the time until it may be tried again.
-// It returns false if the request has none.
-func (q *Quarantiner) Refuses(s Subject) (k Key, after time.Duration, ok bool) {
+// Admit returns whether a request may be sent to a target. If not, it returns the key for which
+// the request is refused and the time until it may be tried again. A request that is tried
+// again is admitted with trial set, and may then be sent once.
+func (q *Quarantiner) Admit(s Subject) (d Decision) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.quarantined) == 0 {
-		return Key{}, 0, false
+	if len(q.quarantined) == 0 && len(q.trials) == 0 {
+		return Decision{Admitted: true}
+	}
+	now := q.clock.Now()
+	for _, k := range s.keys() {
+		if until, found := q.quarantined[k]; found && now >= until {
+			q.evaluate(now)
+			break
+		}
 	}
+	var tried []Key
+	for _, k := range s.keys() {
+		if until, found := q.quarantined[k]; found {
+			return Decision{Key: k, After: until - now}
+		}
+		if _, found := q.trials[k]; found {
+			tried = append(tried, k)
+		}
+	}
+	for _, k := range tried {
+		if after, ok := q.trials[k].admit(k, now, q.settings.Process, q.peers()); !ok {
+			return Decision{Key: k, After: after}
+		}
+	}
+	return Decision{Admitted: true, Trial: len(tried) > 0}
+}
+
+// Refuses returns the key for which a request that has been admitted must not be sent any more,
+// and the time until it may be tried again. It returns false if it may be sent.
+func (q *Quarantiner) Refuses(s Subject) (k Key, after time.Duration, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	now := q.clock.Now()
 	for _, k := range s.keys() {
 		if until, found := q.quarantined[k]; found && now < until {
--- a/coordination/quarantiner/quarantiner_test.go
+++ b/coordination/quarantiner/quarantiner_test.go
@@ -39,12 +39,23 @@
 
 func newFleet(processes int) *fleet {
 	f := &fleet{clock: &simulator.ManualClock{At: time.Hour}}
-	for range processes {
-		f.processes = append(f.processes, quarantiner.New(quarantiner.Settings{}, f.clock, slog.New(slog.DiscardHandler)))
+	for k := range processes {
+		f.processes = append(f.processes, f.newProcess(k, processes))
 	}
 	return f
 }
 
+// newProcess returns the kth of a number of processes.
+func (f *fleet) newProcess(k, processes int) *quarantiner.Quarantiner {
+	var peers []string
+	for i := range processes {
+		if i != k {
+			peers = append(peers, fmt.Sprint("p", i))
+		}
+	}
+	return quarantiner.New(quarantiner.Settings{Process: fmt.Sprint("p", k)}, f.clock, slog.New(slog.DiscardHandler), func() []string { return peers })
+}
+
 // crash has an engine crash that runs generations on the given prompts, each sent running
 // ago by the process.
 func (f *fleet) crash(process int, running time.Duration, prompts ...[]radishspoke.PromptPart) {
@@ -73,8 +84,7 @@
 
 // refuses reports whether a process refuses a prompt.
 func (f *fleet) refuses(process int, parts []radishspoke.PromptPart) bool {
-	_, _, ok := f.processes[process].Refuses(subject(parts))
-	return ok
+	return !f.processes[process].Admit(subject(parts)).Admitted
 }
 
 const (
@@ -98,17 +108,17 @@
 		f.clock.At += step
 		f.processes[0].Completed(subject(prompt("first", "other")))
 	}
-	cause, after, ok := f.processes[0].Refuses(subject(bad))
-	c.Assert(ok, qt.IsTrue)
-	c.Assert(cause.Part, qt.Equals, "bad")
-	c.Assert(after, qt.Equals, 5*time.Minute-step)
+	d := f.processes[0].Admit(subject(bad))
+	c.Assert(d.Admitted, qt.IsFalse)
+	c.Assert(d.Key.Part, qt.Equals, "bad")
+	c.Assert(d.After, qt.Equals, 5*time.Minute-step)
 	for _, p := range []string{"sound0", "sound1", "sound2", "other"} {
 		c.Assert(f.refuses(0, prompt("first", p)), qt.IsFalse)
 	}
 	c.Assert(f.refuses(0, prompt("first")), qt.IsFalse)
 	// The part that belongs to one request is never quarantined.
 	c.Assert(f.refuses(0, []radishspoke.PromptPart{{ID: "first"}, {ID: "bad"}}), qt.IsFalse)
-	f.clock.At += after
+	f.clock.At += d.After
 	c.Assert(f.refuses(0, bad), qt.IsFalse)
 }
 
@@ -230,7 +240,7 @@
 	// A process that starts later learns it from the others.
 	f.processes = append(f.processes, newFleet(1).processes...)
 	f.clock.At += time.Minute
-	f.processes[3] = quarantiner.New(quarantiner.Settings{}, f.clock, slog.New(slog.DiscardHandler))
+	f.processes[3] = f.newProcess(3, len(f.processes))
 	f.exchange(delay)
 	f.processes[3].Completed(subject(prompt("first")))
 	f.exchange(delay)
--- a/coordination/quarantiner/request_test.go
+++ b/coordination/quarantiner/request_test.go
@@ -31,8 +31,7 @@
 }
 
 func (f *fleet) refusesRequest(process int, id string) bool {
-	_, _, ok := f.processes[process].Refuses(whole(id))
-	return ok
+	return !f.processes[process].Admit(whole(id)).Admitted
 }
 
 // Guards against copies of one request that crash targets at several processes at once, and
@@ -85,6 +84,66 @@
 	}
 }
 
+// Guards against BUDGET on the day deadly: requests that were suspected together were released
+// at all processes at one moment, and the bad one went to four more targets before the first
+// crash was known. Each is tried by one process at a time.
+func TestSuspectsAreTriedOneAtATime(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(5)
+	for range 3 {
+		f.clock.At += time.Second
+		f.crashOn(0, 50*time.Millisecond, "bad", "sound1", "sound2")
+	}
+	f.exchange(0)
+	end := f.clock.At + 5*time.Second
+	for f.clock.At < end {
+		for k := range f.processes {
+			c.Assert(f.refusesRequest(k, "bad"), qt.IsTrue)
+		}
+		f.clock.At += 10 * time.Millisecond
+	}
+	sent, tries := 0, map[int]bool{}
+	for range 100 { // half a second, before anything is known of a first try
+		for k := range f.processes {
+			for range 3 {
+				if !f.refusesRequest(k, "bad") {
+					sent++
+					tries[k] = true
+				}
+			}
+		}
+		f.clock.At += 5 * time.Millisecond
+	}
+	c.Assert(sent, qt.Equals, 1)
+	for k := range tries {
+		f.crashOn(k, 50*time.Millisecond, "bad")
+	}
+	f.exchange(0)
+	f.clock.At += time.Minute
+	for k := range f.processes {
+		c.Assert(f.refusesRequest(k, "bad"), qt.IsTrue)
+		c.Assert(f.refusesRequest(k, "sound1"), qt.IsFalse)
+	}
+}
+
+// TestRareSuspectIsTried checks that a suspect whose repetitions come to one process only is
+// tried within half a minute.
+func TestRareSuspectIsTried(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(100)
+	for range 3 {
+		f.clock.At += time.Second
+		f.crashOn(0, 50*time.Millisecond, "bad", "sound")
+	}
+	f.exchange(0)
+	f.clock.At += 5 * time.Second
+	began := f.clock.At
+	for f.refusesRequest(7, "sound") {
+		f.clock.At += 100 * time.Millisecond
+	}
+	c.Assert(f.clock.At-began <= 40*time.Second, qt.IsTrue, qt.Commentf("tried after %v", f.clock.At-began))
+}
+
 // execution is a request at a target.
 type execution struct {
 	id        string
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -157,7 +157,7 @@
 	e.estimator = estimator.New(clock)
 	e.locator = locator.New(locator.Settings{}, clock)
 	e.forecaster = forecaster.New(clock)
-	e.quarantiner = quarantiner.New(quarantiner.Settings{}, clock, env.Log)
+	e.quarantiner = quarantiner.New(quarantiner.Settings{Process: s.Name}, clock, env.Log, e.peerNames)
 	e.avoider = avoider.New(clock, env.Log)
 	e.throttler = throttler.New(throttler.Settings{Process: s.Name}, clock, env.Log, e.storeTime.StoreTime, e.peerNames)
 	e.dividers = map[string]*planner.Divider{}
