--- a/internal/fake/target.go
+++ b/internal/fake/target.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"radishspoke/platform"
 )
@@ -52,6 +53,9 @@
 
 	// Chunked sends the body in two chunks instead of with Content-Length.
 	Chunked bool
+
+	// Pause is the time between the two chunks.
+	Pause time.Duration
 }
 
 // StrayResponse returns the bytes of a complete response with the given
@@ -142,10 +146,18 @@
 	if a.TruncateAt > 0 {
 		body = body[:a.TruncateAt]
 	}
+	_, _ = w.WriteString("\r\n")
 	if a.Chunked {
-		body = chunks(body, a.TruncateAt == 0)
+		first := chunk(body[:len(body)/2])
+		if _, _ = w.WriteString(first); a.Pause > 0 {
+			_ = w.Flush() // an error shows in the second one
+			time.Sleep(a.Pause)
+		}
+		if body = chunk(body[len(body)/2:]); a.TruncateAt == 0 {
+			body += "0\r\n\r\n"
+		}
 	}
-	_, _ = w.WriteString("\r\n" + body + a.After)
+	_, _ = w.WriteString(body + a.After)
 	err := w.Flush()
 	if t, ok := c.(*net.TCPConn); ok && a.Reset {
 		_ = t.SetLinger(0) // fails only if the connection is closed already
@@ -153,17 +165,10 @@
 	return err == nil && a.TruncateAt == 0 && !a.Unframed && !a.Reset
 }
 
-// chunks returns a body in chunked encoding with two chunks. The empty chunk that
-// ends the encoding follows only if complete is set.
-func chunks(body string, complete bool) string {
-	out := ""
-	for _, b := range []string{body[:len(body)/2], body[len(body)/2:]} {
-		if b != "" {
-			out += fmt.Sprintf("%x\r\n%s\r\n", len(b), b)
-		}
-	}
-	if complete {
-		out += "0\r\n\r\n"
+// chunk returns a part of a body as a chunk, or "" if it is empty.
+func chunk(part string) string {
+	if part == "" {
+		return ""
 	}
-	return out
+	return fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
 }
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -21,6 +21,7 @@
 type requestKind struct {
 	path       string
 	maxRuns    int  // maximum number of executions
+	resumable  bool // the response may be resumed after a part of it
 	streaming  bool // the response is a stream of events
 	longPrompt bool // the prompt is prefilled by a separate engine
 }
@@ -28,9 +29,9 @@
 var kinds = []requestKind{
 	{path: "/order/", maxRuns: 1},
 	{path: "/stock/", maxRuns: 2},
-	{path: "/phone/", maxRuns: 2, streaming: true},
+	{path: "/phone/", maxRuns: 2, streaming: true, resumable: true},
 	{path: "/fit/", maxRuns: 1, streaming: true, longPrompt: true},
-	{path: "/form/", maxRuns: 2, streaming: true, longPrompt: true},
+	{path: "/form/", maxRuns: 2, streaming: true, longPrompt: true, resumable: true},
 }
 
 const (
@@ -136,7 +137,7 @@
 		limit = time.Duration(c.random.IntN(40)) * time.Millisecond
 	}
 	_ = c.conn.SetDeadline(began.Add(limit)) // can't fail on an open connection
-	err := c.send(k, id, key, budget, bad)
+	err := c.send(k, attempt{id: id}, key, budget, bad)
 	var r *http.Response
 	var body []byte
 	if err == nil {
@@ -161,15 +162,86 @@
 		return 0
 	case err != nil:
 		c.checkIncomplete(q, entry, began, elapsed, limit, err)
+		if k.resumable && q.status == http.StatusOK {
+			c.resume(k, q, body, began.Add(budget))
+		}
 		return 0
 	}
 	c.checkResponse(k, q, r, body)
 	return q.status
 }
 
+// attempt is one attempt of a caller. For one that resumes a stream, resumes is the ID of the
+// request that began it and after the number of its last event.
+type attempt struct {
+	id, resumes string
+	after       int
+}
+
+// maxResumptions is the maximum number of attempts to resume a stream.
+const maxResumptions = 4
+
+// resume resumes a stream that was broken off after the given part, until it is complete or
+// its deadline has passed. All events must be from one software version.
+func (c *caller) resume(k requestKind, q requestRecord, part []byte, deadline time.Time) {
+	rec, release := c.soak.recorder, &c.soak.release
+	software, last, fault := checkStream(q.id, 0, string(part))
+	if fault != "" {
+		rec.addFinding("mixed", q.id, "part of a stream from entry %s: %s", q.entry, fault)
+	}
+	if last == 0 || fault != "" {
+		return
+	}
+	stream := q.id
+	for n := 1; n <= maxResumptions && time.Until(deadline) > 0; n++ {
+		time.Sleep(maxThinkTime)
+		c.disconnect()
+		if !c.connect() {
+			continue
+		}
+		a := attempt{id: fmt.Sprintf("%s-r%d", stream, n), resumes: stream, after: last}
+		q.id, q.entry, q.status = a.id, c.entry.name, 0
+		_ = c.conn.SetDeadline(deadline.Add(budgetSlack)) // can't fail on an open connection
+		err := c.send(k, a, q.key, time.Until(deadline), false)
+		var r *http.Response
+		var body []byte
+		if err == nil {
+			r, err = http.ReadResponse(c.reader, nil)
+		}
+		if err == nil {
+			q.status, q.fromEntry = r.StatusCode, !platform.DecodeAnswer(r.StatusCode, r.Header).Stamped
+			body, err = io.ReadAll(r.Body)
+		}
+		rec.addRequest(q)
+		if q.status != http.StatusOK {
+			continue
+		}
+		version, newest, fault := checkStream(stream, last, string(body))
+		switch {
+		case fault != "":
+			rec.addFinding("mixed", q.id, "resumed stream from entry %s: %s", q.entry, fault)
+			return
+		case version != "" && version != software:
+			rec.addFinding("order", q.id, "stream that %s began goes on at %s, from entry %s", software, version, q.entry)
+			return
+		case err == nil && newest < streamEvents:
+			rec.addFinding("order", q.id, "stream from entry %s is complete after event %d", q.entry, newest)
+			return
+		}
+		last = newest
+		if err == nil {
+			release.resumed.Add(1)
+			return
+		}
+	}
+	c.disconnect()
+	release.refused.Add(1)
+}
+
 // send sends one request. It includes a forged team header, which the entry must
 // replace. If bad is set, the request is the one that crashes targets.
-func (c *caller) send(k requestKind, id, key string, budget time.Duration, bad bool) error {
+func (c *caller) send(k requestKind, a attempt, key string, budget time.Duration, bad bool) error {
+	id := a.id
 	h := platform.CallerHeader{ID: id, Secret: key, Deadline: budget, Generation: &radishspoke.GenerationInfo{Prompt: shortPromptTokens, Output: streamEvents}}
 	if k.longPrompt {
 		h.Generation.Prompt = sharedPrefixTokens + uniqueSuffixTokens
@@ -181,6 +253,9 @@
 	}
 	c.soak.limit.recordSent(id, c.entry)
 	path, content := k.path+"x", requestBody(id)
+	if a.resumes != "" {
+		h.Resumes, h.LastEvent, content = a.resumes, strconv.Itoa(a.after), requestBody(a.resumes)
+	}
 	if bad {
 		path, content = badPath, badBody
 		c.soak.badRequest.recordSent(id, c.entry)
@@ -227,7 +302,10 @@
 	}
 	want := plainBody(q.id)
 	if k.streaming {
-		want = streamBody(q.id, 0)
+		software, _, fault := checkStream(q.id, 0, string(body))
+		if want = streamBody(q.id, software, 0); fault != "" {
+			want = "a stream: " + fault
+		}
 	}
 	if string(body) != want {
 		rec.addFinding("mixed", q.id, "response from entry %s is %q, want %q", q.entry, body, want)
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -103,6 +103,7 @@
 	badPart      *crashCheck
 	badRequest   *crashCheck
 	limit        limitCheck
+	release      release
 	entries      []*process
 	sidecars     []*process
 	targets      []*target
@@ -117,8 +118,11 @@
 // Report is the result of a soak test. Requests is the number of requests sent,
 // Served the number of those that got a response with status 200, even if its body
 // was incomplete, and Refused the number of those that an entry reported as not run.
+// Resumed is the number of broken streams that went on when their callers asked for it, and
+// NotResumed that of those that did not.
 type Report struct {
 	Requests, Served, Refused int
+	Resumed, NotResumed       int
 	Findings                  []Finding
 	Directory                 string // of the logs of the processes
 }
@@ -291,6 +295,7 @@
 	s.checkUsage()
 	r := &Report{Findings: slices.Concat(s.recorder.evaluate(), s.badPart.evaluate(), s.badRequest.evaluate(), s.limit.evaluate()), Directory: s.directory}
 	r.Requests, r.Served, r.Refused = len(s.recorder.requests), s.recorder.served, s.recorder.refused
+	r.Resumed, r.NotResumed = int(s.release.resumed.Load()), int(s.release.refused.Load())
 	for _, f := range r.Findings {
 		s.print("FOUND %s", f)
 	}
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -67,11 +67,13 @@
 		found  int
 	}{
 		{"right", false, "t1-k1-1", plainBody("t1-k1-1"), "x", 0},
-		{"complete stream", true, "t1-k1-1", streamBody("t1-k1-1", 0), "x", 0},
+		{"complete stream", true, "t1-k1-1", streamBody("t1-k1-1", "v1", 0), "x", 0},
 		{"response to another request", false, "t1-k1-2", plainBody("t1-k1-1"), "x", 1},
 		{"short", false, "t1-k1-1", "answer", "x", 1},
-		{"stream without its first event", true, "t1-k1-1", streamBody("t1-k1-1", 1), "x", 1},
-		{"stream with an event twice", true, "t1-k1-1", streamBody("t1-k1-1", 0) + streamBody("t1-k1-1", 5), "x", 1},
+		{"stream without its first event", true, "t1-k1-1", streamBody("t1-k1-1", "v1", 1), "x", 1},
+		{"stream of two versions", true, "t1-k1-1", strings.Replace(streamBody("t1-k1-1", "v1", 0), "6 v1", "6 v2", 1), "x", 1},
+		{"stream of another request", true, "t1-k1-1", streamBody("t1-k1-2", "v1", 0), "x", 1},
+		{"stream with an event twice", true, "t1-k1-1", streamBody("t1-k1-1", "v1", 0) + streamBody("t1-k1-1", "v1", 5), "x", 1},
 		{"response without target stamp", false, "t1-k1-1", plainBody("t1-k1-1"), "", 1},
 	} {
 		c := qt.New(t)
@@ -192,7 +194,7 @@
 		tgt := &target{soak: &Soak{recorder: r}, proxy: &proxy{}}
 		h := correctHeader()
 		test.modify(&h)
-		tgt.checkRequest(h, []byte(test.body))
+		tgt.checkRequest(received{h}, []byte(test.body))
 		c.Assert(checks(r), qt.DeepEquals, test.found, qt.Commentf("%s", test.name))
 	}
 }
--- a/internal/soaker/target.go
+++ b/internal/soaker/target.go
@@ -31,6 +31,7 @@
 	mu         sync.Mutex
 	random     *rand.Rand
 	instance   string           // ID of the current instance
+	software   string           // version of the software of the current instance
 	instances  int              // started so far
 	role       radishspoke.Role // empty for a plain service
 	orders     int64            // accepted by the current instance
@@ -66,6 +67,7 @@
 	t.mu.Lock()
 	old := t.instance
 	t.instances++
+	t.software = t.soak.release.version()
 	t.instance = fmt.Sprintf("%s-%s-%d", t.service, strings.ReplaceAll(t.address, ".", "-"), t.instances)
 	t.handles = map[string]bool{}
 	t.orders = 0
@@ -100,7 +102,7 @@
 	defer t.mu.Unlock()
 	t.rowWrites++
 	data, err := platform.EncodeInstance(radishspoke.Instance{
-		Group: t.service, Address: t.address, Zone: zone, Slots: targetSlots, Role: t.role, StartTime: time.Now(),
+		Group: t.service, Address: t.address, Zone: zone, Slots: targetSlots, Role: t.role, StartTime: time.Now(), Software: t.software,
 	}, t.rowWrites)
 	if err != nil {
 		t.soak.recorder.addFinding("soak", "", "%v", err)
@@ -140,8 +142,11 @@
 // replaced or if the target is faulty and drew that fault.
 func (t *target) handle(id string, r *http.Request, body []byte) *fake.TargetResponse {
 	t.mu.Lock()
-	pause := time.Duration(t.random.IntN(20)) * time.Millisecond
-	current, role := t.instance == id, t.role
+	pause, streamPause := time.Duration(t.random.IntN(20))*time.Millisecond, time.Duration(0)
+	if t.random.IntN(slowStreams) == 0 {
+		streamPause = time.Duration(t.random.Int64N(int64(maxStreamPause)))
+	}
+	current, role, software := t.instance == id, t.role, t.software
 	draw := 1.0 // random number that selects the fault of the response; 1 for none
 	if t.faulty {
 		draw = t.random.Float64()
@@ -161,7 +166,8 @@
 		}
 		return &fake.TargetResponse{Status: http.StatusOK}
 	}
-	request, err := platform.DecodeReceivedHeader(r.Header)
+	header, err := platform.DecodeReceivedHeader(r.Header)
+	request := received{header}
 	if err != nil {
 		t.soak.recorder.addFinding("unasked", platform.RequestID(r.Header), "%v", err)
 		return notRunResponse(http.StatusBadRequest)
@@ -205,8 +211,8 @@
 	if request.LastEvent != "" && err != nil {
 		t.soak.recorder.addFinding("mixed", request.ID, "request resumes the stream after event %q, which is not a number", request.LastEvent)
 	}
-	stream := stampedResponse(id, "text/event-stream", streamBody(request.ID, after))
-	stream.Chunked = true
+	stream := stampedResponse(id, "text/event-stream", streamBody(request.stream(), software, after))
+	stream.Chunked, stream.Pause = true, streamPause
 	return corrupt(stream, draw)
 }
 
@@ -276,7 +282,7 @@
 }
 
 // checkRequest checks the headers and the body of a request to a target.
-func (t *target) checkRequest(request platform.ReceivedHeader, body []byte) {
+func (t *target) checkRequest(request received, body []byte) {
 	rec := t.soak.recorder
 	team, key := teamOf(request.ID)
 	if len(request.Teams) != 1 || request.Teams[0] != team {
@@ -285,7 +291,7 @@
 	if request.Secret != "" {
 		rec.addFinding("unasked", request.ID, "key %q was sent to a target", request.Secret)
 	}
-	if string(body) != requestBody(request.ID) {
+	if string(body) != requestBody(request.stream()) {
 		rec.addFinding("mixed", request.ID, "body of %d bytes belongs to another request", len(body))
 	}
 	// On a link with a recent fault, the request may have been sent before the
@@ -358,14 +364,31 @@
 // given ID.
 func plainBody(id string) string { return "answer to " + id }
 
-const streamEvents = 6 // number of events in a complete stream
+const (
+	streamEvents = 6 // number of events in a complete stream
+
+	// One stream in slowStreams pauses in its middle, for less than maxStreamPause.
+	slowStreams    = 4
+	maxStreamPause = 500 * time.Millisecond
+)
+
+// received holds the headers of a request to a target.
+type received struct{ platform.ReceivedHeader }
+
+// stream returns the ID of the request that began the stream.
+func (r received) stream() string {
+	if r.Resumes != "" {
+		return r.Resumes
+	}
+	return r.ID
+}
 
-// streamBody returns the stream that an engine sends for the request of the given
-// ID, without its first events up to the number after.
-func streamBody(id string, after int) string {
+// streamBody returns the stream that an engine with the given software version sends for
+// the request of the given ID, without its first events up to the number after.
+func streamBody(id, software string, after int) string {
 	var b strings.Builder
 	for n := after + 1; n <= streamEvents; n++ {
-		fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", n, id, n)
+		fmt.Fprintf(&b, "id: %d\ndata: %s %d %s\n\n", n, id, n, software)
 	}
 	return b.String()
 }
