Withdraw the rule that keeps the last decode engine of a version

Cause: sidecars carry out a plan one by one, each by its own list. With the rule, the choice of the engines that change depends on which versions still decode, which lists disagree on in a release; three engines became prefill engines where one should have.

Change: the rule is taken back.

--- a/coordination/planner/roles.go
+++ b/coordination/planner/roles.go
@@ -26,9 +26,7 @@
 // role, by the ID of the engine, so that the share of prefill engines matches
 // m. Of two or more engines, at least one has each role; a single engine has
 // the role decode. Leaving engines are not counted. The engines that change
-// are chosen so that decode engines are spread over the availability zones, and the
-// last decode engine of a software version keeps its role, because the streams that
-// the version has begun go on at no other.
+// are chosen so that decode engines are spread over the availability zones.
 // Ties are decided by the order of addresses, so that all processes that see
 // the same engines plan the same changes. RoleChanges does no I/O and keeps no
 // state.
@@ -63,11 +61,10 @@
 // so that none depends on another.
 func reassign(live []radishspoke.Instance, decoding, count int) map[string]radishspoke.Role {
 	out := map[string]radishspoke.Role{}
-	decodingIn, decodingAt := map[string]int{}, map[string]int{} // number of decode engines, by zone and by software version
+	decodingIn := map[string]int{} // number of decode engines, by zone
 	for _, e := range live {
 		if e.Role == radishspoke.DecodeRole {
 			decodingIn[e.Zone]++
-			decodingAt[e.Software]++
 		}
 	}
 	from, to, step := radishspoke.PrefillRole, radishspoke.DecodeRole, 1
@@ -79,9 +76,6 @@
 		for i, e := range live {
 			// The zone with the fewest decode engines gains one first, the
 			// zone with the most loses one first.
-			if step < 0 && decodingAt[e.Software] == 1 {
-				continue
-			}
 			if _, changed := out[e.ID]; e.Role == from && !changed &&
 				(best < 0 || step*decodingIn[e.Zone] < step*decodingIn[live[best].Zone]) {
 				best = i
@@ -92,7 +86,6 @@
 		}
 		out[live[best].ID] = to
 		decodingIn[live[best].Zone] += step
-		decodingAt[live[best].Software] += step
 	}
 	return out
 }
