--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -70,7 +70,8 @@
 	callersPort = 8360
 	readyPort   = 8365
 	storePort   = 9000
-	targetPort  = 8181
+	targetPort  = 8181 // of the proxy of a target
+	backendPort = 8182 // of the target itself
 
 	firstPort = 7500 // first and last port for traffic between the processes
 	lastPort  = 7515
--- a/internal/soaker/target.go
+++ b/internal/soaker/target.go
@@ -46,7 +46,8 @@
 // newTarget starts a target at an IP address. The role is empty for a plain
 // service.
 func newTarget(s *Soak, ip, service string, role radishspoke.Role, seed uint64) (*target, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	// Not an ephemeral port: another process might take that during a restart.
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(backendPort)))
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for target")
 	}
