--- a/coordination/fleetrouter/fleetrouter.go
+++ b/coordination/fleetrouter/fleetrouter.go
@@ -91,20 +91,6 @@
 	}
 }
 
-// Selection restricts the targets that are considered for a request.
-type Selection struct {
-	Exclude map[string]bool // ids of targets that are not considered
-
-	// Software is the version of the software that has to write the answer. It is empty
-	// for any.
-	Software string
-}
-
-// allows reports whether a target may be chosen. A prompt may be prefilled by any version.
-func (s Selection) allows(t *target) bool {
-	return !s.Exclude[t.ID] && (s.Software == "" || s.Software == t.Software || t.Role == radishspoke.PrefillRole)
-}
-
 // target holds what is known about one target.
 type target struct {
 	radishspoke.Instance
@@ -353,28 +339,6 @@
 	return out
 }
 
-// withOthersOfVersion returns the targets in list whose software version has a further one
-// there. A stream that begins at another target cannot be resumed after that one has failed.
-// If none of them is without waiting requests, it returns the whole list.
-func withOthersOfVersion(list []*target) []*target {
-	count := map[string]int{}
-	for _, t := range list {
-		count[t.Software]++
-	}
-	var out []*target
-	idle := false
-	for _, t := range list {
-		if count[t.Software] > 1 {
-			out = append(out, t)
-			idle = idle || t.waiting == 0
-		}
-	}
-	if !idle {
-		return list
-	}
-	return out
-}
-
 // penalty returns the cost of a target for its failures and its zone.
 func (r *Router) penalty(t *target) time.Duration {
 	d := time.Duration(t.failureShare * float64(failureCost))
--- a/coordination/quarantiner/quarantiner.go
+++ b/coordination/quarantiner/quarantiner.go
@@ -28,17 +28,6 @@
 	return "part " + k.Part
 }
 
-// Decision tells whether a request may be sent to a target.
-type Decision struct {
-	Admitted bool
-	Trial    bool // the request is tried again: it may be sent once
-
-	// Key is the key for which the request is refused, and After the time until it may be
-	// tried again.
-	Key   Key
-	After time.Duration
-}
-
 // Subject is a request as far as it may be the cause of a crash.
 type Subject struct {
 	Group   string
@@ -258,53 +247,6 @@
 	}
 }
 
-// Admit returns whether a request may be sent to a target. If not, it returns the key for which
-// the request is refused and the time until it may be tried again. A request that is tried
-// again is admitted with trial set, and may then be sent once.
-func (q *Quarantiner) Admit(s Subject) (d Decision) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if len(q.quarantined) == 0 && len(q.trials) == 0 {
-		return Decision{Admitted: true}
-	}
-	now := q.clock.Now()
-	for _, k := range s.keys() {
-		if until, found := q.quarantined[k]; found && now >= until {
-			q.evaluate(now)
-			break
-		}
-	}
-	var tried []Key
-	for _, k := range s.keys() {
-		if until, found := q.quarantined[k]; found {
-			return Decision{Key: k, After: until - now}
-		}
-		if _, found := q.trials[k]; found {
-			tried = append(tried, k)
-		}
-	}
-	for _, k := range tried {
-		if after, ok := q.trials[k].admit(k, now, q.settings.Process, q.peers()); !ok {
-			return Decision{Key: k, After: after}
-		}
-	}
-	return Decision{Admitted: true, Trial: len(tried) > 0}
-}
-
-// Refuses returns the key for which a request that has been admitted must not be sent any more,
-// and the time until it may be tried again. It returns false if it may be sent.
-func (q *Quarantiner) Refuses(s Subject) (k Key, after time.Duration, ok bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := q.clock.Now()
-	for _, k := range s.keys() {
-		if until, found := q.quarantined[k]; found && now < until {
-			return k, until - now, true
-		}
-	}
-	return Key{}, 0, false
-}
-
 // Quarantined returns the number of keys in quarantine.
 func (q *Quarantiner) Quarantined() int {
 	q.mu.Lock()
--- a/internal/soaker/release.go
+++ b/internal/soaker/release.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"radishspoke/platform"
 	"radishspoke/transport/eventreader"
 )
 
@@ -23,6 +24,17 @@
 // version returns the version of a target that starts now.
 func (r *release) version() string { return fmt.Sprint("v", 1+r.number.Load()) }
 
+// received holds the headers of a request to a target.
+type received struct{ platform.ReceivedHeader }
+
+// stream returns the ID of the request that began the stream.
+func (r received) stream() string {
+	if r.Resumes != "" {
+		return r.Resumes
+	}
+	return r.ID
+}
+
 // checkStream checks the events of the stream of a request after the number after. They must
 // be whole and in order. It returns the version that wrote them, which is empty if there are
 // none, the number of the last event, and what is wrong with them or "".
--- a/internal/soaker/target.go
+++ b/internal/soaker/target.go
@@ -373,17 +373,6 @@
 	maxStreamPause = 500 * time.Millisecond
 )
 
-// received holds the headers of a request to a target.
-type received struct{ platform.ReceivedHeader }
-
-// stream returns the ID of the request that began the stream.
-func (r received) stream() string {
-	if r.Resumes != "" {
-		return r.Resumes
-	}
-	return r.ID
-}
-
 // streamBody returns the stream that an engine with the given software version sends for
 // the request of the given ID, without its first events up to the number after.
 func streamBody(id, software string, after int) string {
