--- a/internal/soaker/target.go
+++ b/internal/soaker/target.go
@@ -81,6 +81,13 @@
 	t.putRow()
 }
 
+// A process that this program is starting holds a copy of the closed listener until it runs,
+// so that the address may be in use for a moment.
+const (
+	listenTimeout = 2 * time.Second
+	listenRetry   = 10 * time.Millisecond
+)
+
 // restart stops the current instance and starts another one at the same address.
 func (t *target) restart() {
 	t.restarts.Lock()
@@ -89,6 +96,9 @@
 	_ = t.backend.Close()
 	t.setLink(linkState{}, true)
 	l, err := net.Listen("tcp", address)
+	for end := time.Now().Add(listenTimeout); err != nil && time.Now().Before(end); l, err = net.Listen("tcp", address) {
+		time.Sleep(listenRetry)
+	}
 	if err != nil {
 		t.soak.recorder.addFinding("soak", "", "target could not be restarted: %v", err)
 		return
