--- a/coordination/registrar/registrar_test.go
+++ b/coordination/registrar/registrar_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,17 +15,25 @@
 
 	"radishspoke"
 	"radishspoke/coordination/registrar"
-	"radishspoke/internal/simulator"
 )
 
 const group = "llm"
 
+// clock is a clock that a test sets, while questions that nobody waits for any more may read it.
+type clock struct{ at atomic.Int64 }
+
+func (c *clock) Now() time.Duration { return time.Duration(c.at.Load()) }
+
+func (c *clock) advance(d time.Duration) { c.at.Add(int64(d)) }
+
 // fleet is a number of entries and sidecars with a network between them that loses datagrams.
 // It implements registrar.Transport.
 type fleet struct {
-	clock    *simulator.ManualClock
-	random   *rand.Rand
-	loss     float64
+	clock  *clock
+	random *rand.Rand
+	loss   float64
+
+	mu       sync.Mutex                      // of sidecars
 	sidecars map[string]*registrar.Registrar // by host
 	own      map[string]*registrar.Registry
 	list     []radishspoke.Instance
@@ -31,10 +41,12 @@
 }
 
 func newFleet(seed uint64, loss float64) *fleet {
-	return &fleet{
-		clock: &simulator.ManualClock{At: time.Hour}, random: rand.New(rand.NewPCG(seed, 1)), loss: loss,
+	f := &fleet{
+		clock: &clock{}, random: rand.New(rand.NewPCG(seed, 1)), loss: loss,
 		sidecars: map[string]*registrar.Registrar{}, own: map[string]*registrar.Registry{},
 	}
+	f.clock.advance(time.Hour)
+	return f
 }
 
 func (f *fleet) Send(host string, records []registrar.Record) {
@@ -44,7 +56,9 @@
 }
 
 func (f *fleet) Ask(_ context.Context, host string, k registrar.Key, group string) (registrar.Reply, error) {
+	f.mu.Lock()
 	r, ok := f.sidecars[host]
+	f.mu.Unlock()
 	if !ok {
 		return registrar.Reply{}, io.ErrUnexpectedEOF
 	}
@@ -66,7 +80,10 @@
 	f.list = append(f.list, radishspoke.Instance{
 		ID: "e-" + host, Group: group, Address: host + ":1", Zone: fmt.Sprint("z", f.hosts%3), Role: radishspoke.DecodeRole, Software: software,
 	})
-	f.sidecars[host], f.own[host] = f.process()
+	r, own := f.process()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sidecars[host], f.own[host] = r, own
 }
 
 // host returns the host of the kth engine of the list.
@@ -74,6 +91,8 @@
 
 // kill ends the sidecar of the kth engine of the list, and the engine.
 func (f *fleet) kill(k int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	delete(f.sidecars, f.host(k))
 	delete(f.own, f.host(k))
 	f.list = append(f.list[:k:k], f.list[k+1:]...)
@@ -126,7 +145,7 @@
 			f.spread()
 			f.stop(f.random.IntN(len(f.list)))
 		}
-		f.clock.At += 5 * time.Second
+		f.clock.advance(5 * time.Second)
 		entry, _ = f.process() // all entries were killed
 		for k, v := range streams {
 			got, err := entry.Find(t.Context(), k, group, time.Minute)
@@ -157,7 +176,7 @@
 		entry, _ := f.process()
 		return entry.Find(t.Context(), k, group, span)
 	}
-	f.clock.At += 10 * time.Second
+	f.clock.advance(10 * time.Second)
 	v, err := find(9 * time.Second) // the sidecars have seen it, the entry has just begun
 	c.Assert(err, qt.IsNil)
 	c.Assert(v, qt.Equals, registrar.Version{Group: group, Software: "v1"})
@@ -167,14 +186,14 @@
 	f.spread()
 	_, err = find(time.Second)
 	c.Assert(err, qt.ErrorIs, registrar.ErrUnknown)
-	f.clock.At += time.Minute
+	f.clock.advance(time.Minute)
 	for range 4 {
 		f.stop(0) // the engines of v1
 	}
 	f.spread()
 	_, err = find(time.Second) // v1 has only just left
 	c.Assert(err, qt.ErrorIs, registrar.ErrUnknown)
-	f.clock.At += 10 * time.Second
+	f.clock.advance(10 * time.Second)
 	v, err = find(9 * time.Second)
 	c.Assert(err, qt.IsNil)
 	c.Assert(v.Software, qt.Equals, "v2")
@@ -206,7 +225,7 @@
 	third, _ := f.process()
 	_, err = third.Find(t.Context(), registrar.NewKey("t", "s"), group, time.Minute)
 	c.Assert(err, qt.ErrorIs, registrar.ErrUnknown)
-	f.clock.At += 2 * time.Second
+	f.clock.advance(2 * time.Second)
 	_, err = a.Find(t.Context(), registrar.NewKey("t", "s"), group, time.Minute) // the record has ended
 	c.Assert(err, qt.ErrorIs, registrar.ErrUnknown)
 	a.Begin(registrar.NewKey("t", "other"), v1, time.Minute)
