Log and count configurations that other entries report

Neither logs nor metrics told whether an entry that serves an older configuration had heard of a newer one, and for how long, so that the hypotheses of the stale configuration could not be told apart.

Change: log line 'newer configuration reported', the time since then in 'configuration in force', and the gauge config_version_reported. No decision depends on them.

--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -268,6 +268,7 @@
 		}
 		return 0
 	})
+	e.recorder.Gauge("config_version_reported", func() float64 { return float64(e.watcher.Reported()) })
 	e.recorder.Gauge("config_proof_age_seconds", func() float64 { return (e.env.Clock.Now() - e.watcher.Proof()).Seconds() })
 	e.recorder.Gauge("targets_listed", func() float64 { return float64(len(e.watcher.Instances())) })
 	e.recorder.Gauge("peers_live", func() float64 {
--- a/state/fleetwatcher/fleetwatcher.go
+++ b/state/fleetwatcher/fleetwatcher.go
@@ -102,6 +102,8 @@
 	mu           sync.RWMutex
 	table        *radishspoke.RoutingTable
 	proof        time.Duration // when the table was last known to be the newest
+	reported     int64         // newest version that another process has reported
+	reportedAt   time.Duration // when it was first reported
 	instances    map[string]radishspoke.Instance
 	seen         map[string]time.Duration // when each was last on the list
 	odd          map[string]bool          // errors about rows in the last list
@@ -137,6 +139,14 @@
 	return w.table
 }
 
+// Reported returns the newest version of the configuration that another process has
+// reported, or 0.
+func (w *Watcher) Reported() int64 {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.reported
+}
+
 // Proof returns the latest time, on the process's clock, at which the
 // configuration that Table returns was known to be the newest.
 func (w *Watcher) Proof() time.Duration {
@@ -152,16 +162,32 @@
 // already.
 func (w *Watcher) UpdateConfiguration(t *radishspoke.RoutingTable, version int64, proof time.Duration) {
 	w.mu.Lock()
+	now := w.clock.Now()
 	newer := t != nil && (w.table == nil || t.Version > w.table.Version)
 	if newer {
 		w.table = t
 	}
-	if w.table != nil && w.table.Version == version {
+	known := int64(0)
+	if w.table != nil {
+		known = w.table.Version
+	}
+	if w.table != nil && known == version {
 		w.proof = max(w.proof, proof)
 	}
+	reported := version > max(known, w.reported)
+	if reported {
+		w.reported, w.reportedAt = version, now
+	}
+	reportedBefore := time.Duration(0)
+	if newer && known == w.reported {
+		reportedBefore = now - w.reportedAt
+	}
 	w.mu.Unlock()
+	if reported {
+		w.log.Info("newer configuration reported", "version", version, "in_force", known)
+	}
 	if newer {
-		w.log.Info("configuration in force", "version", t.Version, "rules", len(t.Rules), "teams", len(t.Teams))
+		w.log.Info("configuration in force", "version", t.Version, "rules", len(t.Rules), "teams", len(t.Teams), "reported_before", reportedBefore)
 		w.changed(t)
 	}
 }
