Add a failing test of an entry that hears of a newer configuration

TestNewerVersionOfPeer: a peer's datagram names version 2, the own wait at the store hangs; after one second version 1 is still in force.

--- /dev/null
+++ b/state/fleetwatcher/newer_test.go
@@ -0,0 +1,60 @@
+package fleetwatcher_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"radishspoke"
+	"radishspoke/state/fleetwatcher"
+	"radishspoke/transport/ticker"
+)
+
+// hungSource is a source whose waits for a configuration get no answer: they end when their
+// time has passed and waitMargin more, as calls to a store that drops them do.
+type hungSource struct{ source }
+
+const waitMargin = 1500 * time.Millisecond
+
+func (s *hungSource) NextConfiguration(ctx context.Context, after int64, wait time.Duration) (*radishspoke.RoutingTable, int64, error) {
+	t := time.NewTimer(wait + waitMargin)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return nil, after, ctx.Err()
+	case <-t.C:
+		return nil, after, radishspoke.ErrUnavailable
+	}
+}
+
+// TestNewerVersionOfPeer guards against CONFIG of issue 41: an entry that hears of a newer
+// configuration from another one goes on with its own, as its wait for it hangs.
+func TestNewerVersionOfPeer(t *testing.T) {
+	for _, watch := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			clock := ticker.NewMonotonicClock()
+			s := &hungSource{}
+			s.table.Store(&radishspoke.RoutingTable{Version: 1})
+			w := fleetwatcher.New(fleetwatcher.Settings{}, s, clock, func() bool { return watch }, discardLog,
+				func(*radishspoke.RoutingTable) {}, func([]radishspoke.Instance) {})
+			peer := fleetwatcher.New(fleetwatcher.Settings{}, nil, clock, nil, discardLog, func(*radishspoke.RoutingTable) {}, nil)
+			ctx, cancel := context.WithCancel(t.Context())
+			go w.RunConfiguration(ctx)
+			go w.RunPeers(ctx, &peers{snapshot: peer.Snapshot})
+			time.Sleep(200 * time.Millisecond)
+			w.UpdateConfiguration(nil, 1, clock.Now())
+			c.Assert(w.Table().Version, qt.Equals, int64(1))
+			peer.UpdateConfiguration(&radishspoke.RoutingTable{Version: 2}, 2, clock.Now())
+			w.UpdateConfiguration(nil, 2, clock.Now()) // as each datagram of the peer does
+			time.Sleep(time.Second)
+			c.Check(w.Table().Version, qt.Equals, int64(2), qt.Commentf("watching: %v", watch))
+			c.Check(w.Proof(), qt.Equals, peer.Proof())
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
