Request a newer configuration from the entry that reports it

Cause: an entry took the version in a datagram only as a proof of its own version. Behind a wait that hangs, it went on with the older one until its proof was 2.5 s old, and then until a wait of 1 s and 1.5 s had failed and a random watching peer, which may stand still, had been asked.

A wait that should have ended begins anew.

--- a/state/fleetwatcher/fleetwatcher.go
+++ b/state/fleetwatcher/fleetwatcher.go
@@ -89,6 +89,8 @@
 	settings Settings
 	watch    WatchFunc
 	wake     chan struct{} // capacity 1; a value requests an immediate read of the list
+	behind   chan struct{} // capacity 1; a value reports that another process has a newer configuration
+	renew    chan struct{} // capacity 1; a value requests that the wait for a configuration begins anew
 	source   Source
 	clock    radishspoke.Clock
 	log      *slog.Logger
@@ -127,7 +129,7 @@
 		mustWatch = func() bool { return true }
 	}
 	return &Watcher{
-		settings: s, watch: mustWatch, wake: make(chan struct{}, 1), source: src, clock: c, log: log, changed: changed, listed: listed,
+		settings: s, watch: mustWatch, wake: make(chan struct{}, 1), behind: make(chan struct{}, 1), renew: make(chan struct{}, 1), source: src, clock: c, log: log, changed: changed, listed: listed,
 		instances: map[string]radishspoke.Instance{}, seen: map[string]time.Duration{}, recovered: -s.MissingGrace,
 	}
 }
@@ -139,6 +141,14 @@
 	return w.table
 }
 
+// signal puts a value into a channel of capacity 1, unless it holds one.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // Reported returns the newest version of the configuration that another process has
 // reported, or 0.
 func (w *Watcher) Reported() int64 {
@@ -186,6 +196,9 @@
 	if reported {
 		w.log.Info("newer configuration reported", "version", version, "in_force", known)
 	}
+	if version > known {
+		signal(w.behind)
+	}
 	if newer {
 		w.log.Info("configuration in force", "version", t.Version, "rules", len(t.Rules), "teams", len(t.Teams), "reported_before", reportedBefore)
 		w.changed(t)
@@ -243,13 +256,16 @@
 }
 
 // next waits for a configuration committed after a version of the store. It
-// aborts a wait of IdleInterval and returns errWaitAborted when this process has
-// to watch the platform.
+// aborts the wait and returns errWaitAborted when a wait of IdleInterval is under way
+// and this process has to watch the platform, or when another process has brought a
+// configuration for which this wait should have ended.
 func (w *Watcher) next(ctx context.Context, after int64) (*radishspoke.RoutingTable, int64, error) {
-	if w.watch() {
-		return w.source.NextConfiguration(ctx, after, w.settings.WaitTimeout)
+	idle := !w.watch()
+	timeout := w.settings.WaitTimeout
+	if idle {
+		timeout = w.settings.IdleInterval
 	}
-	long, cancel := context.WithCancel(ctx)
+	wait, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
 	defer close(done)
@@ -260,24 +276,26 @@
 			select {
 			case <-done:
 				return
+			case <-w.renew:
+				cancel()
+				return
 			case <-t.C:
 			}
-			if w.watch() {
+			if idle && w.watch() {
 				cancel()
 				return
 			}
 		}
 	}()
-	t, next, err := w.source.NextConfiguration(long, after, w.settings.IdleInterval)
-	if err != nil && long.Err() != nil && ctx.Err() == nil {
+	t, next, err := w.source.NextConfiguration(wait, after, timeout)
+	if err != nil && wait.Err() != nil && ctx.Err() == nil {
 		return nil, after, errWaitAborted
 	}
 	return t, next, err
 }
 
-// errWaitAborted reports that a wait of IdleInterval was aborted, because this
-// process has to watch the platform. It does not prove that the configuration is
-// still the newest.
+// errWaitAborted reports that a wait for a configuration was aborted. It does not prove
+// that the configuration is still the newest.
 var errWaitAborted = errors.New("wait for a configuration aborted")
 
 // RunInstances reads the list of targets until ctx ends.
@@ -375,10 +393,7 @@
 	if digest == 0 || digest == own || at <= read || w.applyChanges(digest, changes) {
 		return
 	}
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
+	signal(w.wake)
 }
 
 // digestOf returns a digest of the list. It depends neither on the order of the
--- a/state/fleetwatcher/peers.go
+++ b/state/fleetwatcher/peers.go
@@ -27,17 +27,25 @@
 
 // Peers gives access to other processes that follow the same source.
 type Peers interface {
-	// FetchSnapshot requests a Snapshot from a process that reaches the platform.
-	// The reply leaves out a configuration that is not newer than version, and a
-	// list of targets that has the given digest. The result ok is false if no
-	// process is known to reach the platform.
+	// FetchSnapshot requests a Snapshot from a process that has reported a
+	// configuration newer than version or, if there is none, from one that reaches
+	// the platform. The reply leaves out a configuration that is not newer than
+	// version, and a list of targets that has the given digest. The result ok is
+	// false if no such process is known.
 	FetchSnapshot(ctx context.Context, version int64, digest uint64) (s Snapshot, ok bool, err error)
 }
 
-// peerInterval is the time between two requests to peers while the platform is
-// not reached. It equals the default interval between two reads of the list of
-// targets from the platform.
-const peerInterval = defaultInterval
+const (
+	// peerInterval is the time between two requests to peers while the platform is
+	// not reached. It equals the default interval between two reads of the list of
+	// targets from the platform.
+	peerInterval = defaultInterval
+
+	// behindDelay is the time for which a process waits for the platform to send a
+	// configuration that a peer has reported, before it requests it from a peer. The
+	// platform sends a change to all processes within a few round trips.
+	behindDelay = 100 * time.Millisecond
+)
 
 // Snapshot returns the configuration and the list of targets of this process, for
 // a requester that has the configuration with the given version and the list of
@@ -63,13 +71,11 @@
 }
 
 // RunPeers requests snapshots from peers while this process does not reach the
-// platform. It returns when ctx ends.
+// platform, and when a peer has reported a newer configuration. It returns when ctx
+// ends.
 func (w *Watcher) RunPeers(ctx context.Context, p Peers) {
 	lost := false
-	for ticker.Sleep(ctx, peerInterval) {
-		if !w.disconnected() {
-			continue
-		}
+	for w.awaitPeers(ctx) {
 		version, digest := int64(0), uint64(0)
 		if t := w.Table(); t != nil {
 			version = t.Version
@@ -87,6 +93,38 @@
 	}
 }
 
+// awaitPeers returns true when a snapshot of a peer is needed, and false when ctx ends.
+func (w *Watcher) awaitPeers(ctx context.Context) bool {
+	t := time.NewTimer(peerInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+			if w.disconnected() {
+				return true
+			}
+			t.Reset(peerInterval)
+		case <-w.behind:
+			if !ticker.Sleep(ctx, behindDelay) {
+				return false
+			}
+			if w.isBehind() {
+				return true
+			}
+		}
+	}
+}
+
+// isBehind reports whether a peer has reported a newer configuration than the one in
+// force here.
+func (w *Watcher) isBehind() bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.table == nil || w.table.Version < w.reported
+}
+
 // disconnected reports whether the last read of the configuration or of the list
 // of targets failed.
 func (w *Watcher) disconnected() bool {
@@ -99,6 +137,9 @@
 // time sent. The ages in the reply are subtracted from sent, and not from the time
 // of the reply, so that a delay never makes the lists look more recent.
 func (w *Watcher) handlePeerReply(s Snapshot, sent time.Duration) {
+	if old := w.Table(); s.Table != nil && (old == nil || s.Table.Version > old.Version) {
+		signal(w.renew)
+	}
 	w.UpdateConfiguration(s.Table, s.Version, sent-max(0, s.ProofAge))
 	read := sent - max(0, s.ListAge)
 	w.notifying.Lock()
--- a/state/gossiper/gossiper.go
+++ b/state/gossiper/gossiper.go
@@ -114,6 +114,9 @@
 	Live     bool   // its last datagram is more recent than LiveTimeout
 	Watching bool   // it is live and watches the platform
 
+	// Configuration is the version of the configuration that it last reported, or 0.
+	Configuration int64
+
 	// ReceivedAt is the time at which the last datagram was received, or the
 	// peer was discovered.
 	ReceivedAt time.Duration
@@ -129,6 +132,8 @@
 	sent        time.Duration // of the last datagram, on the peer's clock
 	leaving     bool
 	watching    bool
+
+	configuration int64 // version that the peer last reported
 }
 
 // Gossiper exchanges datagrams with the other entries. Use New to create one.
@@ -174,7 +179,7 @@
 	for n, p := range g.peers {
 		if !p.leaving {
 			live := p.received && now-p.receivedAt < g.liveTimeout(p)
-			out = append(out, Peer{Process: n, Address: p.address, Live: live, Watching: live && p.watching, ReceivedAt: p.receivedAt})
+			out = append(out, Peer{Process: n, Address: p.address, Live: live, Watching: live && p.watching, Configuration: p.configuration, ReceivedAt: p.receivedAt})
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Process < out[j].Process })
@@ -344,7 +349,7 @@
 		return
 	}
 	p.incarnation, p.receivedAt, p.received, p.sent, p.leaving = m.GetIncarnation(), now, true, sent, m.GetLeaving()
-	p.watching = m.GetWatching()
+	p.watching, p.configuration = m.GetWatching(), m.GetVersion()
 	own := g.incarnation
 	g.mu.Unlock()
 	u := Update{Process: m.GetProcess(), Incarnation: m.GetIncarnation(), Version: m.GetVersion(), Message: m}
