Put the routes and the keys of a version in force as one value

A key that was added is refused with 401 as the older version says, and a withdrawn one is admitted.

Cause: UpdateConfiguration published the table under a lock and called those who follow it after that, in any order; the authenticator was a second copy of what the version says.

Change: calls with a table are made one after the other, so that followers get versions in order. The dispatcher takes the table and the keys of a version as one value, which is replaced as one, and decides a request by one such value.

Evidence: TestVersionsArriveAtOnce got version 1 after version 2 on the code before and passes.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -164,7 +164,7 @@
 	if !j.idempotent() || now+restart >= j.startBy {
 		return false
 	}
-	if _, _, refused := d.Quarantine.Refuses(j.subject()); refused || j.key.Hash != "" && d.Keys.Valid(j.key) != nil {
+	if _, _, refused := d.Quarantine.Refuses(j.subject()); refused || j.key.Hash != "" && d.Configurations.Configuration().Keys.Valid(j.key) != nil {
 		return false
 	}
 	// Once the caller has a part of the answer, the successor must go on soon. Shortly before
--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -21,19 +21,25 @@
 	"radishspoke/transport/httpclient"
 )
 
-// Tables provides the newest routing table, or nil if none is known.
-type Tables interface {
-	Table() *radishspoke.RoutingTable
+// Configuration is one version of the routing table with the keys in it.
+type Configuration struct {
+	Table *radishspoke.RoutingTable
+	Keys  Keys
 }
 
-// Keys checks the keys of callers.
+// Configurations provides the newest configuration, or nil if none is known.
+type Configurations interface {
+	Configuration() *Configuration
+}
+
+// Keys checks the keys of callers against one version of the configuration.
 type Keys interface {
 	// Check returns the key that belongs to a secret. The errors are those of
 	// package authenticator.
 	Check(secret string) (radishspoke.Key, error)
 
-	// Valid returns nil if a key that was checked before may still start
-	// requests.
+	// Valid returns nil if a key that was checked before, maybe by another version,
+	// may still start requests.
 	Valid(k radishspoke.Key) error
 }
 
@@ -169,25 +175,24 @@
 
 // Dependencies holds the dependencies of a Dispatcher.
 type Dependencies struct {
-	Tables       Tables
-	Keys         Keys
-	KeyTrust     KeyTrust
-	RateLimiter  RateLimiter
-	RetryBudgets RetryBudgets
-	Usage        Usage
-	Router       Router
-	PromptQueue  PromptQueue
-	RelayClient  RelayClient
-	Estimator    Estimator
-	Forecaster   Forecaster
-	Quarantine   Quarantine
-	Streams      Streams
-	Answers      Answers
-	Targets      Targets
-	Recorder     Recorder
-	Shutdown     Shutdown
-	Clock        radishspoke.Clock
-	Log          *slog.Logger
+	Configurations Configurations
+	KeyTrust       KeyTrust
+	RateLimiter    RateLimiter
+	RetryBudgets   RetryBudgets
+	Usage          Usage
+	Router         Router
+	PromptQueue    PromptQueue
+	RelayClient    RelayClient
+	Estimator      Estimator
+	Forecaster     Forecaster
+	Quarantine     Quarantine
+	Streams        Streams
+	Answers        Answers
+	Targets        Targets
+	Recorder       Recorder
+	Shutdown       Shutdown
+	Clock          radishspoke.Clock
+	Log            *slog.Logger
 }
 
 // Dispatcher serves the requests of callers. Create it with New.
@@ -293,10 +298,11 @@
 	if j.incoming, err = platform.DecodeRequest(r.Header); err != nil {
 		return notRunFailure(http.StatusBadRequest, "header", err.Error(), 0)
 	}
-	table := d.Tables.Table()
-	if table == nil {
+	current := d.Configurations.Configuration()
+	if current == nil {
 		return notRunFailure(http.StatusServiceUnavailable, "starting", "no configuration is known yet", startRetryAfter)
 	}
+	table := current.Table
 	rule, ok := matchRule(table, r.Host, r.URL.EscapedPath())
 	if !ok {
 		return notRunFailure(http.StatusNotFound, "route", "no route leads to this path", 0)
@@ -309,7 +315,7 @@
 		w.Header().Set("Connection", "close") // the next connection leads to another entry
 		return notRunFailure(http.StatusServiceUnavailable, "stopping", "this entry stops before the answer would be whole", stopRetryAfter)
 	}
-	if fail := d.authenticate(j, table); fail != nil {
+	if fail := d.authenticate(j, current); fail != nil {
 		return fail
 	}
 	if fail := j.receiveBody(w, r); fail != nil {
@@ -333,18 +339,18 @@
 
 // authenticate sets the team and the key of a request, unless the route is open
 // or the configuration requires no keys.
-func (d *Dispatcher) authenticate(j *job, table *radishspoke.RoutingTable) *radishspoke.Failure {
-	if !table.KeysRequired || j.rule.Open {
+func (d *Dispatcher) authenticate(j *job, c *Configuration) *radishspoke.Failure {
+	if !c.Table.KeysRequired || j.rule.Open {
 		return nil
 	}
-	key, err := d.Keys.Check(j.incoming.Secret)
+	key, err := c.Keys.Check(j.incoming.Secret)
 	if errors.Is(err, authenticator.ErrStaleConfig) {
 		return notRunFailure(http.StatusServiceUnavailable, "standing", err.Error(), startRetryAfter)
 	}
 	if err != nil {
 		return notRunFailure(http.StatusUnauthorized, "key", err.Error(), 0)
 	}
-	for _, t := range table.Teams {
+	for _, t := range c.Table.Teams {
 		if t.Name == key.Team {
 			j.team, j.key = t, key
 			return nil
@@ -360,7 +366,7 @@
 	if j.key.Hash == "" {
 		return nil
 	}
-	err := d.Keys.Valid(j.key)
+	err := d.Configurations.Configuration().Keys.Valid(j.key)
 	switch {
 	case err == nil:
 		return nil
--- a/coordination/fleetdispatcher/randompauses_test.go
+++ b/coordination/fleetdispatcher/randompauses_test.go
@@ -137,10 +137,10 @@
 	table *radishspoke.RoutingTable
 }
 
-func (t *changingTable) Table() *radishspoke.RoutingTable {
+func (t *changingTable) Configuration() *Configuration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table
+	return &Configuration{Table: t.table}
 }
 
 // change puts a version in force in which the timeouts of the routes differ.
@@ -180,9 +180,9 @@
 			if role != "" {
 				learnFirstEvent(d, f.draw(900*time.Millisecond))
 			}
-			table := &changingTable{table: d.Tables.Table()}
+			table := &changingTable{table: d.Configurations.Configuration().Table}
 			observed := &counts{Recorder: recorder.New()}
-			d.Tables, d.Recorder = table, observed
+			d.Configurations, d.Recorder = table, observed
 			var callers sync.WaitGroup
 			for i := range requests {
 				at := f.draw(length)
--- a/coordination/fleetdispatcher/silence_test.go
+++ b/coordination/fleetdispatcher/silence_test.go
@@ -225,8 +225,8 @@
 	history := registrar.NewHistory(clock)
 	history.SetTargets(list)
 	return New(Dependencies{
-		Tables: fixedTable{&radishspoke.RoutingTable{Version: 1, Rules: []radishspoke.PathRule{rule}, Groups: map[string]radishspoke.Group{"g": group}}},
-		Router: router, RetryBudgets: &stubBudgets{left: retries}, PromptQueue: sequencer.New(sequencer.Settings{}, clock), RelayClient: stubRelay{},
+		Configurations: fixedTable{&radishspoke.RoutingTable{Version: 1, Rules: []radishspoke.PathRule{rule}, Groups: map[string]radishspoke.Group{"g": group}}},
+		Router:         router, RetryBudgets: &stubBudgets{left: retries}, PromptQueue: sequencer.New(sequencer.Settings{}, clock), RelayClient: stubRelay{},
 		Estimator: times, Forecaster: loads, Quarantine: quarantiner.New(quarantiner.Settings{}, clock, log, noPeers),
 		Streams: registrar.New(registrar.Settings{}, registrar.NewRegistry(clock), history, nil, clock, log),
 		Targets: httpclient.New(httpclient.Settings{}, n, clock), Recorder: recorder.New(), Shutdown: noShutdown{}, Clock: clock, Log: log,
@@ -236,7 +236,7 @@
 // fixedTable is a routing table that does not change.
 type fixedTable struct{ table *radishspoke.RoutingTable }
 
-func (f fixedTable) Table() *radishspoke.RoutingTable { return f.table }
+func (f fixedTable) Configuration() *Configuration { return &Configuration{Table: f.table} }
 
 // noShutdown is a process that does not stop.
 type noShutdown struct{}
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -50,7 +50,6 @@
 	platformClient *platform.Client
 	table          *platform.Table
 	watcher        *fleetwatcher.Watcher
-	auth           *authenticator.Authenticator
 	estimator      *estimator.Estimator
 	locator        *locator.Locator
 	forecaster     *forecaster.Forecaster
@@ -72,7 +71,8 @@
 	registrar      *registrar.Registrar
 	recorder       *recorder.Recorder
 	retries        *retryBudgets
-	peerRandom     *rand.Rand // chooses the peer to ask; used by one goroutine only
+	configuration  atomic.Pointer[fleetdispatcher.Configuration] // in force for requests; nil if none is known
+	peerRandom     *rand.Rand                                    // chooses the peer to ask; used by one goroutine only
 	callerServer   *http.Server
 	readyServer    *http.Server
 	peerServer     *http.Server
@@ -158,7 +158,6 @@
 	e.table = platform.NewTable(e.platformClient)
 	e.storeTime = timekeeper.New(e.table, clock)
 	e.platformClient.ObserveClock(e.storeTime.Observe)
-	e.auth = authenticator.New(e.trustsKeys)
 	e.estimator = estimator.New(clock)
 	e.locator = locator.New(locator.Settings{}, clock)
 	e.forecaster = forecaster.New(clock)
@@ -192,7 +191,7 @@
 		&streamTransport{process: s.Name, firstPort: s.FirstPort, conn: conn, client: e.sidecarClient, clock: clock, log: env.Log}, clock, env.Log)
 	e.gossiper = gossiper.New(gossiper.Settings{Process: s.Name, Address: address}, e.table, conn, clock, env.Log, e.fillGossip, e.handleGossip)
 	f := fleetdispatcher.New(fleetdispatcher.Dependencies{
-		Tables: e.watcher, Keys: e.auth, KeyTrust: e, RateLimiter: e.limiter, RetryBudgets: e.retries, Usage: e.biller, Router: e.router,
+		Configurations: e, KeyTrust: e, RateLimiter: e.limiter, RetryBudgets: e.retries, Usage: e.biller, Router: e.router,
 		PromptQueue: e.sequencer, RelayClient: e.relayClient, Estimator: e.estimator, Forecaster: e.forecaster, Quarantine: e.quarantiner, Streams: e.registrar, Answers: answerObserver{e.avoider, e.throttler}, Targets: e.targetClient, Shutdown: e, Recorder: e.recorder, Clock: clock, Log: env.Log,
 	})
 	logger := slog.NewLogLogger(env.Log.Handler(), slog.LevelWarn) // panics of handlers among others
@@ -325,7 +324,11 @@
 	return e.watcher.Proof() + b.Revoke - proofMargin
 }
 
-// setConfiguration passes the keys of a new configuration to the authenticator.
+// Configuration returns the newest configuration, or nil if none is known. It implements
+// fleetdispatcher.Configurations.
+func (e *FleetEntry) Configuration() *fleetdispatcher.Configuration { return e.configuration.Load() }
+
+// setConfiguration puts a new configuration in force for requests, with its keys.
 func (e *FleetEntry) setConfiguration(t *radishspoke.RoutingTable) {
 	var keys []radishspoke.Key
 	for _, team := range t.Teams {
@@ -333,7 +336,9 @@
 			keys = append(keys, radishspoke.Key{Team: team.Name, Hash: h})
 		}
 	}
-	e.auth.Configure(keys)
+	a := authenticator.New(e.trustsKeys)
+	a.Configure(keys)
+	e.configuration.Store(&fleetdispatcher.Configuration{Table: t, Keys: a})
 }
 
 // setInstances passes a new list of targets to the router, the relay client and all
--- a/state/fleetwatcher/fleetwatcher.go
+++ b/state/fleetwatcher/fleetwatcher.go
@@ -97,9 +97,11 @@
 	changed  func(*radishspoke.RoutingTable)
 	listed   func([]radishspoke.Instance)
 
-	// notifying is held from a change of the list until listed has returned, so
-	// that lists reach it in order.
-	notifying sync.Mutex
+	// configuring is held from a change of the configuration until changed has
+	// returned, and notifying from a change of the list until listed has, so that
+	// both are called in order.
+	configuring sync.Mutex
+	notifying   sync.Mutex
 
 	mu           sync.RWMutex
 	table        *radishspoke.RoutingTable
@@ -171,6 +173,10 @@
 // that one. If t is nil, the sender assumes that the configuration is known
 // already.
 func (w *Watcher) UpdateConfiguration(t *radishspoke.RoutingTable, version int64, proof time.Duration) {
+	if t != nil {
+		w.configuring.Lock()
+		defer w.configuring.Unlock()
+	}
 	w.mu.Lock()
 	now := w.clock.Now()
 	newer := t != nil && (w.table == nil || t.Version > w.table.Version)
--- a/state/fleetwatcher/newer_test.go
+++ b/state/fleetwatcher/newer_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,3 +61,24 @@
 		})
 	}
 }
+
+// TestVersionsArriveAtOnce guards against CONFIG of issue 41: the older of two versions that
+// arrive at one moment by two ways is the last that those who follow the configuration get.
+func TestVersionsArriveAtOnce(t *testing.T) {
+	var w *fleetwatcher.Watcher
+	var followed atomic.Int64
+	var g sync.WaitGroup
+	w = fleetwatcher.New(fleetwatcher.Settings{}, nil, ticker.NewMonotonicClock(), nil, discardLog, func(t *radishspoke.RoutingTable) {
+		if t.Version == 1 {
+			g.Go(func() { w.UpdateConfiguration(&radishspoke.RoutingTable{Version: 2}, 2, 0) })
+			for n := 0; n < 10_000 && followed.Load() != 2; n++ {
+				runtime.Gosched() // until the second version has overtaken the first, if it can
+			}
+		}
+		followed.Store(t.Version)
+	}, nil)
+	w.UpdateConfiguration(&radishspoke.RoutingTable{Version: 1}, 1, 0)
+	g.Wait()
+	qt.Assert(t, w.Table().Version, qt.Equals, int64(2))
+	qt.Assert(t, followed.Load(), qt.Equals, int64(2))
+}
