Follow the configuration from positions of one era of the store

The entry serves the older version until the next change, and reports the false proof to the others.

Cause: versions of the store are given out again in the next era (header Store-Era), and nothing read the header; an empty answer was a proof of whatever version was in force, also of one that the store did not have. Class: a position is compared with one of another history.

Change: a position has an era. A response of another era, or the first one that the client sees on any call while a wait is held, ends the wait with an error, after which the configuration is read in full. A read proves only the version that the store has.

--- a/internal/fake/rowstore.go
+++ b/internal/fake/rowstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"sort"
 	"sync"
@@ -24,6 +25,7 @@
 	version int64                   // of the last write
 	rows    map[rowKey]platform.Row // including deleted ones
 	oldest  int64                   // lowest version after which a feed can be read
+	era     int64                   // number of times that the store has come back from an older copy
 	changed chan struct{}           // closed and replaced at each change
 	faults  RowStoreFaults
 	usage   []WindowReport
@@ -68,6 +70,7 @@
 	s.mu.Lock()
 	status := s.faults.Status
 	s.calls++
+	platform.EncodeEra(w.Header(), s.era)
 	s.mu.Unlock()
 	if status != 0 {
 		w.WriteHeader(status)
@@ -90,6 +93,29 @@
 	s.oldest = s.version
 }
 
+// Backup is a copy of the content of a RowStore.
+type Backup struct {
+	version int64
+	rows    map[rowKey]platform.Row
+}
+
+// Backup returns a copy of the content.
+func (s *RowStore) Backup() Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Backup{version: s.version, rows: maps.Clone(s.rows)}
+}
+
+// Restore replaces the content by a copy, in a new era: what was written since is gone, and
+// its versions are given out again. Feeds that wait go on from the version with which they
+// began.
+func (s *RowStore) Restore(b Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.rows, s.era = b.version, maps.Clone(b.rows), s.era+1
+	s.notifyFeeds()
+}
+
 // Put writes a row without checking its version, as the operators or a target do.
 func (s *RowStore) Put(table, key string, value []byte) {
 	s.mu.Lock()
@@ -136,6 +162,7 @@
 // writeRows responds with rows, the current version of the store, and the time since
 // its creation, in whole milliseconds. The store must be locked.
 func (s *RowStore) writeRows(w http.ResponseWriter, rows []platform.Row) {
+	platform.EncodeEra(w.Header(), s.era)
 	data, err := platform.EncodeRows(platform.Rows{Rows: rows, Version: s.version, Now: time.Since(s.started).Truncate(time.Millisecond)})
 	writeResponse(w, data, err)
 }
@@ -177,9 +204,9 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
+	for first := true; ; first = false {
 		s.mu.Lock()
-		if after < s.oldest {
+		if after < s.oldest || first && after > s.version {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
--- a/state/fleetwatcher/fleetwatcher.go
+++ b/state/fleetwatcher/fleetwatcher.go
@@ -17,13 +17,14 @@
 // Source reads the configuration and the list of targets from the platform.
 type Source interface {
 	// Configuration returns the newest configuration, or nil if there is none
-	// yet, and the version of the store at which it was read.
-	Configuration(ctx context.Context) (*radishspoke.RoutingTable, int64, error)
+	// yet, and the position of the store at which it was read.
+	Configuration(ctx context.Context) (*radishspoke.RoutingTable, radishspoke.StorePosition, error)
 
 	// NextConfiguration waits for a configuration that was committed after a
-	// version of the store. It returns nil if none was committed within wait,
-	// and the version of the store from which the next call continues.
-	NextConfiguration(ctx context.Context, after int64, wait time.Duration) (*radishspoke.RoutingTable, int64, error)
+	// position of the store. It returns nil if none was committed within wait,
+	// and the position from which the next call continues. It returns an error if a
+	// change may have been missed.
+	NextConfiguration(ctx context.Context, after radishspoke.StorePosition, wait time.Duration) (*radishspoke.RoutingTable, radishspoke.StorePosition, error)
 
 	// Instances returns the list of targets. It leaves out each target that
 	// cannot be read, and calls onError with the error.
@@ -213,14 +214,15 @@
 
 // RunConfiguration follows the configuration until ctx ends.
 func (w *Watcher) RunConfiguration(ctx context.Context) {
-	after, known, lost := int64(0), false, false
+	after, known, lost := radishspoke.StorePosition{}, false, false
+	stored := int64(0) // newest version of the configuration in the store, as last read
 	for ctx.Err() == nil {
 		sent := w.clock.Now()
 		var t *radishspoke.RoutingTable
 		var err error
 		if !known {
 			t, after, err = w.source.Configuration(ctx)
-			known = err == nil && t != nil
+			known, stored = err == nil && t != nil, 0
 		} else {
 			t, after, err = w.next(ctx, after)
 			if errors.Is(err, errWaitAborted) {
@@ -245,12 +247,13 @@
 			lost = false
 		}
 		if t != nil {
-			w.UpdateConfiguration(t, t.Version, sent)
-		} else if now := w.Table(); now != nil {
-			w.UpdateConfiguration(nil, now.Version, sent)
-		} else {
-			ticker.Sleep(ctx, retryPause)
+			stored = t.Version
+		}
+		if stored == 0 {
+			ticker.Sleep(ctx, retryPause) // the store has none
+			continue
 		}
+		w.UpdateConfiguration(t, stored, sent)
 	}
 }
 
@@ -261,11 +264,11 @@
 	w.configFailed = !ok
 }
 
-// next waits for a configuration committed after a version of the store. It
+// next waits for a configuration committed after a position of the store. It
 // aborts the wait and returns errWaitAborted when a wait of IdleInterval is under way
 // and this process has to watch the platform, or when another process has brought a
 // configuration for which this wait should have ended.
-func (w *Watcher) next(ctx context.Context, after int64) (*radishspoke.RoutingTable, int64, error) {
+func (w *Watcher) next(ctx context.Context, after radishspoke.StorePosition) (*radishspoke.RoutingTable, radishspoke.StorePosition, error) {
 	idle := !w.watch()
 	timeout := w.settings.WaitTimeout
 	if idle {
--- a/state/fleetwatcher/fleetwatcher_test.go
+++ b/state/fleetwatcher/fleetwatcher_test.go
@@ -30,15 +30,15 @@
 	down    atomic.Bool
 }
 
-func (s *source) Configuration(context.Context) (*radishspoke.RoutingTable, int64, error) {
+func (s *source) Configuration(context.Context) (*radishspoke.RoutingTable, radishspoke.StorePosition, error) {
 	if s.down.Load() {
-		return nil, 0, radishspoke.ErrUnavailable
+		return nil, radishspoke.StorePosition{}, radishspoke.ErrUnavailable
 	}
 	t := s.table.Load()
-	return t, t.Version, nil
+	return t, radishspoke.StorePosition{Version: t.Version}, nil
 }
 
-func (s *source) NextConfiguration(ctx context.Context, after int64, wait time.Duration) (*radishspoke.RoutingTable, int64, error) {
+func (s *source) NextConfiguration(ctx context.Context, after radishspoke.StorePosition, wait time.Duration) (*radishspoke.RoutingTable, radishspoke.StorePosition, error) {
 	s.waits.Add(1)
 	if s.down.Load() {
 		return nil, after, radishspoke.ErrUnavailable
@@ -50,7 +50,7 @@
 		return nil, after, ctx.Err()
 	case <-s.changed:
 		n := s.table.Load()
-		return n, n.Version, nil
+		return n, radishspoke.StorePosition{Version: n.Version}, nil
 	case <-t.C:
 		return nil, after, nil
 	}
--- a/state/fleetwatcher/newer_test.go
+++ b/state/fleetwatcher/newer_test.go
@@ -22,7 +22,7 @@
 
 const waitMargin = 1500 * time.Millisecond
 
-func (s *hungSource) NextConfiguration(ctx context.Context, after int64, wait time.Duration) (*radishspoke.RoutingTable, int64, error) {
+func (s *hungSource) NextConfiguration(ctx context.Context, after radishspoke.StorePosition, wait time.Duration) (*radishspoke.RoutingTable, radishspoke.StorePosition, error) {
 	t := time.NewTimer(wait + waitMargin)
 	defer t.Stop()
 	select {
@@ -82,3 +82,28 @@
 	qt.Assert(t, w.Table().Version, qt.Equals, int64(2))
 	qt.Assert(t, followed.Load(), qt.Equals, int64(2))
 }
+
+// TestOlderVersionInStore guards against CONFIG of issue 41: the store has come back from an
+// older copy, and reading it proves a version that it does not have.
+func TestOlderVersionInStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		clock := ticker.NewMonotonicClock()
+		s := &source{changed: make(chan struct{})}
+		s.table.Store(&radishspoke.RoutingTable{Version: 1})
+		w := fleetwatcher.New(fleetwatcher.Settings{}, s, clock, nil, discardLog, func(*radishspoke.RoutingTable) {}, func([]radishspoke.Instance) {})
+		proof := clock.Now()
+		w.UpdateConfiguration(&radishspoke.RoutingTable{Version: 2}, 2, proof)
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.RunConfiguration(ctx)
+		time.Sleep(5 * time.Second)
+		c.Check(w.Table().Version, qt.Equals, int64(2))
+		c.Check(w.Proof(), qt.Equals, proof)
+		s.table.Store(&radishspoke.RoutingTable{Version: 2}) // the operators write it again
+		s.changed <- struct{}{}
+		time.Sleep(5 * time.Second)
+		c.Check(w.Proof() > proof, qt.IsTrue)
+		cancel()
+		synctest.Wait()
+	})
+}
