Put a version in force of which some elements can't be decoded

Cause: the row was decoded as a whole, with Go's integers for numbers that JSON may write in other ways.

--- a/routing.go
+++ b/routing.go
@@ -122,6 +122,9 @@
 	Groups  map[string]Group
 	Teams   []TeamRule
 
+	// Skipped says what of this version could not be read, and why. The rest is in force.
+	Skipped []string
+
 	// KeysRequired is set if requests need a key, except on open routes.
 	KeysRequired bool `json:"Keyed"`
 }
--- a/state/fleetwatcher/fleetwatcher.go
+++ b/state/fleetwatcher/fleetwatcher.go
@@ -208,6 +208,9 @@
 	}
 	if newer {
 		w.log.Info("configuration in force", "version", t.Version, "rules", len(t.Rules), "teams", len(t.Teams), "reported_before", reportedBefore)
+		for _, reason := range t.Skipped {
+			w.log.Warn("part of the configuration skipped", "version", t.Version, "error", reason)
+		}
 		w.changed(t)
 	}
 }
