Find the version of a stream by a list that is current at that moment

Cause: without a record, the version followed from the entry's own list, whatever its age; holders that had seen several versions were not heard. A list counted as read when its answer was handled, not when the call was sent. Class: old knowledge is decided from as if it were current.

Change: the entry reads the list again before it decides, and asks the hosts that it learns of; if it can't, the stream is refused as not run. The watcher keeps the period in which no change was missed, from the times at which lists were asked for, and a gap of 2.5 s ends it. A holder that has seen another version vetoes. Digests have the age of the call, also for sidecars.

--- a/coordination/fleetdispatcher/silence_test.go
+++ b/coordination/fleetdispatcher/silence_test.go
@@ -228,7 +228,7 @@
 		Configurations: fixedTable{&radishspoke.RoutingTable{Version: 1, Rules: []radishspoke.PathRule{rule}, Groups: map[string]radishspoke.Group{"g": group}}},
 		Router:         router, RetryBudgets: &stubBudgets{left: retries}, PromptQueue: sequencer.New(sequencer.Settings{}, clock), RelayClient: stubRelay{},
 		Estimator: times, Forecaster: loads, Quarantine: quarantiner.New(quarantiner.Settings{}, clock, log, noPeers),
-		Streams: registrar.New(registrar.Settings{}, registrar.NewRegistry(clock), history, nil, clock, log),
+		Streams: registrar.New(registrar.Settings{}, registrar.NewRegistry(clock), history, steadyList{clock}, nil, clock, log),
 		Targets: httpclient.New(httpclient.Settings{}, n, clock), Recorder: recorder.New(), Shutdown: noShutdown{}, Clock: clock, Log: log,
 	})
 }
@@ -238,6 +238,13 @@
 
 func (f fixedTable) Configuration() *Configuration { return &Configuration{Table: f.table} }
 
+// steadyList is a list of targets that is current at any time.
+type steadyList struct{ clock radishspoke.Clock }
+
+func (l steadyList) Followed() (since, until time.Duration) { return 0, l.clock.Now() }
+
+func (steadyList) Refresh(context.Context) error { return nil }
+
 // noShutdown is a process that does not stop.
 type noShutdown struct{}
 
--- a/coordination/registrar/doc.go
+++ b/coordination/registrar/doc.go
@@ -10,5 +10,7 @@
 // when its caller has given up.
 //
 // If nobody has a record, the stream may be resumed only if a single version has been in
-// service for as long as the stream can have lasted.
+// service for as long as the stream can have lasted. The process reads the list of targets
+// again for that, must have followed it for that time, and must not be contradicted by a
+// holder.
 package registrar
--- a/coordination/registrar/history.go
+++ b/coordination/registrar/history.go
@@ -13,14 +13,13 @@
 	clock radishspoke.Clock
 
 	mu     sync.Mutex
-	began  time.Duration                       // time since which no list was missed
 	listed map[string]map[string]bool          // versions by group
 	left   map[string]map[string]time.Duration // time at which a version was last listed, by group
 }
 
-// NewHistory returns a History that begins now.
+// NewHistory returns an empty History.
 func NewHistory(c radishspoke.Clock) *History {
-	return &History{clock: c, began: c.Now(), listed: map[string]map[string]bool{}, left: map[string]map[string]time.Duration{}}
+	return &History{clock: c, listed: map[string]map[string]bool{}, left: map[string]map[string]time.Duration{}}
 }
 
 // SetTargets replaces the list of targets.
@@ -46,18 +45,10 @@
 	h.listed = next
 }
 
-// Restart forgets what was listed before now. It is called while the process may miss
-// changes of the list.
-func (h *History) Restart() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.began, h.left = h.clock.Now(), map[string]map[string]time.Duration{}
-}
-
-// Sole returns the only software version of a group that is listed, and the time for which
-// no other one was. It returns false if more than one is listed or none, or one that is not
-// known.
-func (h *History) Sole(group string) (software string, span time.Duration, ok bool) {
+// Sole returns the only software version of a group that is listed, and the time until which
+// another one was, or 0 if none was. It returns false if more than one is listed or none, or
+// one that is not known.
+func (h *History) Sole(group string) (software string, changed time.Duration, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.listed[group]) != 1 {
@@ -66,11 +57,17 @@
 	for v := range h.listed[group] {
 		software = v
 	}
-	since := h.began
 	for v, at := range h.left[group] {
 		if v != software {
-			since = max(since, at)
+			changed = max(changed, at)
 		}
 	}
-	return software, h.clock.Now() - since, software != ""
+	return software, changed, software != ""
+}
+
+// Listed reports whether targets of a group are listed.
+func (h *History) Listed(group string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.listed[group]) > 0
 }
--- a/coordination/registrar/registrar.go
+++ b/coordination/registrar/registrar.go
@@ -41,18 +41,34 @@
 	Known  bool // the holder has a record
 
 	// Sole is the only software version of the group that the holder has seen for the
-	// time Span. It is empty if there were several or if its list may be old.
+	// time Span. It is empty if there were several, in which case Span is the time for
+	// which the holder has followed the list, or if its list may be old.
 	Sole string
 	Span time.Duration
 }
 
+// several reports whether the holder has seen several versions.
+func (r Reply) several() bool { return r.Sole == "" && r.Span > 0 }
+
 // Transport carries records and questions to sidecars.
 type Transport interface {
 	// Send sends records to a holder. They may get lost.
 	Send(host string, records []Record)
 
-	// Ask asks a holder for the record of a stream of a group.
-	Ask(ctx context.Context, host string, k Key, group string) (Reply, error)
+	// Ask asks a holder for the record of a stream of a group, which can have lasted for
+	// the time span.
+	Ask(ctx context.Context, host string, k Key, group string, span time.Duration) (Reply, error)
+}
+
+// List tells how current the list of targets of a process is.
+type List interface {
+	// Followed returns the period, on the clock of the process, in which no change of the
+	// list was missed.
+	Followed() (since, until time.Duration)
+
+	// Refresh reads the list. It returns when SetTargets has been called with a list that
+	// was read after the call of Refresh, if it differs from the one before.
+	Refresh(ctx context.Context) error
 }
 
 // Registrar records the streams that a process begins and finds those of all processes.
@@ -61,6 +77,7 @@
 	settings  Settings
 	own       *Registry
 	history   *History
+	list      List
 	transport Transport
 	clock     radishspoke.Clock
 	log       *slog.Logger
@@ -70,7 +87,7 @@
 }
 
 // New returns a Registrar that keeps its own records in own. It knows no holders.
-func New(s Settings, own *Registry, h *History, t Transport, c radishspoke.Clock, log *slog.Logger) *Registrar {
+func New(s Settings, own *Registry, h *History, l List, t Transport, c radishspoke.Clock, log *slog.Logger) *Registrar {
 	if s.Copies == 0 {
 		s.Copies = defaultCopies
 	}
@@ -80,7 +97,7 @@
 	if s.Timeout == 0 {
 		s.Timeout = defaultTimeout
 	}
-	return &Registrar{settings: s, own: own, history: h, transport: t, clock: c, log: log}
+	return &Registrar{settings: s, own: own, history: h, list: l, transport: t, clock: c, log: log}
 }
 
 // SetTargets replaces the list of targets, whose hosts are the holders.
@@ -150,37 +167,96 @@
 // Find returns the version that began a stream. The group is that to which a new stream of
 // the route would go, and span the time for which a stream of the route can have lasted. The
 // error wraps ErrUnknown.
+//
+// Without a record, the stream began at the only version that was listed in that time. The
+// list is read again for that: a stream begins after its target was listed, so that a list
+// that is read now has had the version. It may also have holders that were not known.
 func (r *Registrar) Find(ctx context.Context, k Key, group string, span time.Duration) (Version, error) {
 	if o, ok := r.own.Find(k); ok {
 		return o.version()
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.settings.Timeout)
 	defer cancel()
-	holders := r.placeEver(k)
+	asked := r.placeEver(k)
+	s := statements{}
+	if o, ok := r.ask(ctx, asked, k, group, span, &s); ok {
+		return o.version()
+	}
+	if _, _, ok := r.sole(group); !ok {
+		return Version{}, ErrUnknown
+	}
+	if err := r.list.Refresh(ctx); err != nil {
+		r.log.Debug("list of targets not read", "error", err)
+		return Version{}, ErrUnknown
+	}
+	var added []Holder
+	for _, h := range r.placeEver(k) {
+		if !slices.ContainsFunc(asked, func(o Holder) bool { return o.Host == h.Host }) {
+			added = append(added, h)
+		}
+	}
+	if o, ok := r.ask(ctx, added, k, group, span, &s); ok {
+		return o.version()
+	}
+	sole, longest, ok := r.sole(group)
+	if !ok || s.several {
+		return Version{}, ErrUnknown
+	}
+	for version, t := range s.sole {
+		if version != sole {
+			return Version{}, ErrUnknown
+		}
+		longest = max(longest, t)
+	}
+	if longest < span {
+		return Version{}, ErrUnknown
+	}
+	return Version{Group: group, Software: sole}, nil
+}
+
+// statements is what holders without a record of a stream say about the versions of a group.
+type statements struct {
+	several bool                     // a holder has seen several
+	sole    map[string]time.Duration // by version: the longest time for which a holder has seen no other one
+}
+
+// ask asks holders for the record of a stream. It returns false if none has it, after it has
+// added what they say to s.
+func (r *Registrar) ask(ctx context.Context, holders []Holder, k Key, group string, span time.Duration, s *statements) (Record, bool) {
 	replies := make(chan Reply, len(holders))
 	for _, h := range holders {
 		go func() {
-			reply, err := r.transport.Ask(ctx, h.Host, k, group)
+			reply, err := r.transport.Ask(ctx, h.Host, k, group, span)
 			if err != nil {
 				r.log.Debug("holder of records not asked", "host", h.Host, "error", err)
 			}
 			replies <- reply
 		}()
 	}
-	sole, longest, ok := r.history.Sole(group)
 	for range holders {
 		reply := <-replies
 		switch {
 		case reply.Known:
-			return reply.Record.version()
-		case reply.Sole == sole:
-			longest = max(longest, reply.Span)
+			return reply.Record, true
+		case reply.several():
+			s.several = true
+		case reply.Sole != "":
+			if s.sole == nil {
+				s.sole = map[string]time.Duration{}
+			}
+			s.sole[reply.Sole] = max(s.sole[reply.Sole], reply.Span)
 		}
 	}
-	if ok && longest >= span {
-		return Version{Group: group, Software: sole}, nil
-	}
-	return Version{}, ErrUnknown
+	return Record{}, false
+}
+
+// sole returns the only software version of a group that is listed, and the time for which no
+// other one was, as far as this process has followed the list. It returns false if there is
+// none.
+func (r *Registrar) sole(group string) (software string, span time.Duration, ok bool) {
+	software, changed, ok := r.history.Sole(group)
+	since, until := r.list.Followed()
+	return software, max(0, until-max(since, changed)), ok
 }
 
 // version returns the version in a record. The error is ErrUnknown.
@@ -191,13 +267,21 @@
 	return o.Version, nil
 }
 
-// Reply answers a question about a stream of a group from what this process knows. The
-// argument current tells whether its list of targets is known to be current.
-func (r *Registrar) Reply(k Key, group string, current bool) Reply {
+// Reply answers a question about a stream of a group, which can have lasted for the time span,
+// from what this process knows. The argument current tells whether its list of targets is known
+// to be current.
+func (r *Registrar) Reply(k Key, group string, span time.Duration, current bool) Reply {
 	o, ok := r.own.Find(k)
 	out := Reply{Record: o, Known: ok}
-	if current && !ok {
-		out.Sole, out.Span, _ = r.history.Sole(group)
+	if !current || ok {
+		return out
+	}
+	since, until := r.list.Followed()
+	followed := until - since
+	if software, sole, ok := r.sole(group); ok && sole >= min(span, followed) {
+		out.Sole, out.Span = software, sole
+	} else if r.history.Listed(group) {
+		out.Span = followed
 	}
 	return out
 }
--- a/coordination/registrar/registrar_test.go
+++ b/coordination/registrar/registrar_test.go
@@ -55,24 +55,58 @@
 	}
 }
 
-func (f *fleet) Ask(_ context.Context, host string, k registrar.Key, group string) (registrar.Reply, error) {
+func (f *fleet) Ask(_ context.Context, host string, k registrar.Key, group string, span time.Duration) (registrar.Reply, error) {
 	f.mu.Lock()
 	r, ok := f.sidecars[host]
 	f.mu.Unlock()
 	if !ok {
 		return registrar.Reply{}, io.ErrUnexpectedEOF
 	}
-	return r.Reply(k, group, true), nil
+	return r.Reply(k, group, span, true), nil
 }
 
 // process returns a new process with its memory.
 func (f *fleet) process() (*registrar.Registrar, *registrar.Registry) {
-	own := registrar.NewRegistry(f.clock)
-	r := registrar.New(registrar.Settings{}, own, registrar.NewHistory(f.clock), f, f.clock, slog.New(slog.DiscardHandler))
-	r.SetTargets(f.list)
+	r, own, _ := f.processWithList()
 	return r, own
 }
 
+// processWithList returns a new process with its memory and its list of targets.
+func (f *fleet) processWithList() (*registrar.Registrar, *registrar.Registry, *fleetList) {
+	own, l := registrar.NewRegistry(f.clock), &fleetList{fleet: f, since: f.clock.Now()}
+	l.registrar = registrar.New(registrar.Settings{}, own, registrar.NewHistory(f.clock), l, f, f.clock, slog.New(slog.DiscardHandler))
+	l.registrar.SetTargets(f.list)
+	return l.registrar, own, l
+}
+
+// fleetList is the list of targets of a process, which it follows unless it stands still. It
+// implements registrar.List.
+type fleetList struct {
+	fleet     *fleet
+	registrar *registrar.Registrar
+	since     time.Duration
+	still     time.Duration // time since which the process has not followed the list, or 0
+	cutOff    bool          // the list can't be read
+}
+
+func (l *fleetList) Followed() (since, until time.Duration) {
+	if l.still > 0 {
+		return l.since, l.still
+	}
+	return l.since, l.fleet.clock.Now()
+}
+
+func (l *fleetList) Refresh(context.Context) error {
+	if l.cutOff {
+		return radishspoke.ErrUnavailable
+	}
+	if l.still > 0 {
+		l.since, l.still = l.fleet.clock.Now(), 0
+	}
+	l.registrar.SetTargets(append([]radishspoke.Instance(nil), l.fleet.list...))
+	return nil
+}
+
 // add adds an engine with its sidecar.
 func (f *fleet) add(software string) {
 	f.hosts++
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -187,7 +187,7 @@
 	}
 	e.udpConn = conn
 	e.registry, e.history = registrar.NewRegistry(clock), registrar.NewHistory(clock)
-	e.registrar = registrar.New(registrar.Settings{}, e.registry, e.history,
+	e.registrar = registrar.New(registrar.Settings{}, e.registry, e.history, e.watcher,
 		&streamTransport{process: s.Name, firstPort: s.FirstPort, conn: conn, client: e.sidecarClient, clock: clock, log: env.Log}, clock, env.Log)
 	e.gossiper = gossiper.New(gossiper.Settings{Process: s.Name, Address: address}, e.table, conn, clock, env.Log, e.fillGossip, e.handleGossip)
 	f := fleetdispatcher.New(fleetdispatcher.Dependencies{
@@ -445,8 +445,5 @@
 	ticker.Each(ctx, t, sweepInterval, func() {
 		e.targetClient.CloseExpired()
 		e.sidecarClient.CloseExpired()
-		if e.env.Clock.Now()-e.watcher.Proof() > maxProofAge {
-			e.history.Restart() // changes of the list of targets may have been missed
-		}
 	})
 }
--- a/internal/assembler/fleetgossip.go
+++ b/internal/assembler/fleetgossip.go
@@ -113,7 +113,7 @@
 	}
 	digest, readAt := e.watcher.Digest()
 	age := e.env.Clock.Now() - readAt
-	m.Digest, m.DigestAgeUs, m.Watching = digest, age.Microseconds(), age < fleetwatcher.MaxWatchAge
+	m.Digest, m.DigestAgeUs, m.Watching = digest, age.Microseconds(), e.watcher.Watching()
 }
 
 // beaconCandidates is the number of entries, by the order of the names of the live
@@ -212,10 +212,11 @@
 func (e *FleetEntry) notifySidecars(ctx context.Context, t radishspoke.Timers) {
 	ticker.Each(ctx, t, notifyInterval, func() {
 		digest, readAt := e.watcher.Digest()
-		if e.rank() > 0 || digest == 0 || e.env.Clock.Now()-readAt > maxProofAge {
+		age := e.env.Clock.Now() - readAt
+		if e.rank() > 0 || digest == 0 || age > maxProofAge {
 			return
 		}
-		data, err := proto.Marshal(&wire.Gossip{Process: e.settings.Name, Digest: digest, PrefillShares: e.prefillShares(), Changes: encodeChanges(e.watcher.Changes(notifiedChanges))})
+		data, err := proto.Marshal(&wire.Gossip{Process: e.settings.Name, Digest: digest, DigestAgeUs: age.Microseconds(), PrefillShares: e.prefillShares(), Changes: encodeChanges(e.watcher.Changes(notifiedChanges))})
 		if err != nil {
 			e.env.Log.Error("datagram not encoded", "error", err)
 			return
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -121,7 +121,7 @@
 	d := &FleetSidecar{prefillShares: map[string]float64{}, relayConns: newConnTracker(), settings: s, env: env, started: env.Clock.Now(), avoider: avoider.New(env.Clock, env.Log), throttler: throttler.New(throttler.Settings{Process: s.Name}, env.Clock, env.Log, noCommonTime, noPeers)}
 	d.engineClient = httpclient.New(targetCallbacks(d.avoider, d.throttler), env.Network, env.Clock)
 	client := platform.New(s, env.Network, env.Clock)
-	d.watcher = fleetwatcher.New(fleetwatcher.Settings{Interval: listInterval}, client, env.Clock, d.mustPoll, env.Log,
+	d.watcher = fleetwatcher.New(fleetwatcher.Settings{Interval: listInterval, MaxGap: notificationTimeout}, client, env.Clock, d.mustPoll, env.Log,
 		func(*radishspoke.RoutingTable) {}, d.setInstances)
 	conn, err := net.ListenPacket("udp", net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort+sidecarPort)))
 	if err != nil {
@@ -130,7 +130,7 @@
 	d.udpConn = conn
 	d.relayer = relayer.New(relayer.Settings{Engine: s.Engine}, d.engineClient, d.avoider, env.Clock, env.Log)
 	d.registry, d.history = registrar.NewRegistry(env.Clock), registrar.NewHistory(env.Clock)
-	d.registrar = registrar.New(registrar.Settings{}, d.registry, d.history,
+	d.registrar = registrar.New(registrar.Settings{}, d.registry, d.history, d.watcher,
 		&streamTransport{process: s.Name, firstPort: s.FirstPort, conn: conn, client: d.engineClient, clock: env.Clock, log: env.Log}, env.Clock, env.Log)
 	requests := mux.NewRouter()
 	requests.Handle(relayer.Path, d.relayer)
@@ -235,7 +235,8 @@
 		now := d.env.Clock.Now()
 		d.lastNotified.Store(int64(now))
 		d.updateShares(m.GetPrefillShares())
-		d.watcher.CompareDigest(m.GetDigest(), now, decodeChanges(m.GetChanges()))
+		age := min(max(0, time.Duration(m.GetDigestAgeUs())*time.Microsecond), now)
+		d.watcher.CompareDigest(m.GetDigest(), now-age, decodeChanges(m.GetChanges()))
 	}
 }
 
@@ -290,9 +291,6 @@
 func (d *FleetSidecar) planLoop(ctx context.Context) {
 	for ticker.Sleep(ctx, listInterval/2) {
 		d.engineClient.CloseExpired()
-		if !d.listCurrent() {
-			d.history.Restart()
-		}
 		if err := d.applyPlannedRole(ctx); err != nil {
 			d.env.Log.Warn("role not changed", "engine", d.settings.Engine, "error", err)
 		}
--- a/internal/assembler/fleetstreams.go
+++ b/internal/assembler/fleetstreams.go
@@ -27,6 +27,7 @@
 
 	keyParameter   = "key" // hexadecimal
 	groupParameter = "group"
+	spanParameter  = "span_ms"
 
 	maxReplyBytes = 16 << 10 // bytes
 )
@@ -65,9 +66,9 @@
 }
 
 // Ask implements registrar.Transport.
-func (t *streamTransport) Ask(ctx context.Context, host string, k registrar.Key, group string) (registrar.Reply, error) {
+func (t *streamTransport) Ask(ctx context.Context, host string, k registrar.Key, group string, span time.Duration) (registrar.Reply, error) {
 	address := net.JoinHostPort(host, strconv.Itoa(t.firstPort+relayPort))
-	q := url.Values{keyParameter: {strconv.FormatUint(uint64(k), 16)}, groupParameter: {group}}
+	q := url.Values{keyParameter: {strconv.FormatUint(uint64(k), 16)}, groupParameter: {group}, spanParameter: {strconv.FormatInt(span.Milliseconds(), 10)}}
 	resp, err := t.client.Do(ctx, address, &httpclient.Call{Method: http.MethodGet, RequestURI: streamPath + "?" + q.Encode(), Host: address, Header: http.Header{}})
 	if err != nil {
 		return registrar.Reply{}, fmt.Errorf("ask sidecar %s: %w", address, err)
@@ -116,7 +117,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	reply := d.registrar.Reply(registrar.Key(key), q.Get(groupParameter), d.listCurrent())
+	span, err := strconv.ParseInt(q.Get(spanParameter), 10, 64)
+	if err != nil || span < 0 || span > maxRecordTime.Milliseconds() {
+		span = maxRecordTime.Milliseconds() // an entry of an older release does not state it
+	}
+	reply := d.registrar.Reply(registrar.Key(key), q.Get(groupParameter), time.Duration(span)*time.Millisecond, d.listCurrent())
 	m := &wire.StreamReply{Sole: reply.Sole, SpanMs: reply.Span.Milliseconds()}
 	if reply.Known {
 		m.Record = encodeRecord(reply.Record, d.env.Clock.Now())
@@ -153,6 +158,6 @@
 
 // listCurrent reports whether the list of targets is known to be current.
 func (d *FleetSidecar) listCurrent() bool {
-	_, read := d.watcher.Digest()
-	return d.env.Clock.Now()-max(read, time.Duration(d.lastNotified.Load())) <= notificationTimeout
+	_, until := d.watcher.Followed()
+	return d.env.Clock.Now()-until <= notificationTimeout
 }
--- a/state/fleetwatcher/fleetwatcher.go
+++ b/state/fleetwatcher/fleetwatcher.go
@@ -53,6 +53,12 @@
 	// the list is kept. Zero means 2.2 s, as live targets are listed again within
 	// 2 s of the end of an outage.
 	MissingGrace time.Duration
+
+	// MaxGap is the longest time between two proofs that the list is complete, reads of
+	// it or digests of other processes, within which no target can have come and gone. Zero
+	// means 2.5 s: a target is listed for longer, as one that leaves serves for 2 s
+	// and one that is silent is listed for three heartbeats.
+	MaxGap time.Duration
 }
 
 const (
@@ -60,6 +66,7 @@
 	defaultInterval     = 700 * time.Millisecond
 	defaultIdleInterval = 10 * time.Second
 	defaultMissingGrace = 2200 * time.Millisecond
+	defaultMaxGap       = 2500 * time.Millisecond
 	retryPause          = 200 * time.Millisecond
 	watchInterval       = 250 * time.Millisecond // between two evaluations of the WatchFunc
 )
@@ -77,6 +84,9 @@
 	if s.MissingGrace == 0 {
 		s.MissingGrace = defaultMissingGrace
 	}
+	if s.MaxGap == 0 {
+		s.MaxGap = defaultMaxGap
+	}
 }
 
 // WatchFunc reports whether this process has to poll the platform at the short
@@ -104,6 +114,11 @@
 	configuring sync.Mutex
 	notifying   sync.Mutex
 
+	refreshing chan struct{} // capacity 1; holds a value while a refresh runs
+	refreshMu  sync.Mutex
+	queued     *refresh      // begins when the present one has ended, or nil
+	refreshed  time.Duration // when the last refresh began
+
 	mu           sync.RWMutex
 	table        *radishspoke.RoutingTable
 	proof        time.Duration // when the table was last known to be the newest
@@ -116,7 +131,10 @@
 	configFailed bool                     // the last read of the configuration failed
 	recovered    time.Duration            // when the last outage of the list ended
 	digest       uint64                   // of the list as last read, or last received from a peer
-	readAt       time.Duration            // when this process last read the list
+	readAt       time.Duration            // when the call was sent that last read the list
+	respondedAt  time.Duration            // when it was answered
+	followed     time.Duration            // time since which no change of the list was missed
+	complete     time.Duration            // when the list was last known to be complete
 	peerReadAt   time.Duration            // when a peer read the newest list that it sent
 	changes      []timedChange            // of the list, the oldest first
 }
@@ -132,8 +150,9 @@
 		mustWatch = func() bool { return true }
 	}
 	return &Watcher{
-		settings: s, watch: mustWatch, wake: make(chan struct{}, 1), behind: make(chan struct{}, 1), renew: make(chan struct{}, 1), source: src, clock: c, log: log, changed: changed, listed: listed,
+		settings: s, watch: mustWatch, wake: make(chan struct{}, 1), behind: make(chan struct{}, 1), renew: make(chan struct{}, 1), refreshing: make(chan struct{}, 1), source: src, clock: c, log: log, changed: changed, listed: listed,
 		instances: map[string]radishspoke.Instance{}, seen: map[string]time.Duration{}, recovered: -s.MissingGrace,
+		complete: c.Now() - s.MaxGap - 1,
 	}
 }
 
@@ -324,11 +343,12 @@
 // ReadInstances reads the list of targets once. After an error the list stays as it is.
 func (w *Watcher) ReadInstances(ctx context.Context) error {
 	var odd []string
+	sent := w.clock.Now()
 	list, err := w.source.Instances(ctx, func(err error) { odd = append(odd, fmt.Sprintf("%.*s", maxErrorLength, err.Error())) })
 	if err == nil {
 		w.logOdd(odd)
 	}
-	w.HandleList(list, err)
+	w.handleList(list, sent, err)
 	if err != nil {
 		return fmt.Errorf("read list of targets: %w", err)
 	}
@@ -386,8 +406,8 @@
 }
 
 // Digest returns the digest of the list of targets as it was last read from the
-// platform or received from a peer, and the time at which this process last read
-// the list from the platform. Targets that are missing from the list and kept for
+// platform or received from a peer, and the time at which this process sent the call
+// that last read the list from the platform. Targets that are missing from the list and kept for
 // MissingGrace do not count for the digest. The digest is 0 if there is no list
 // yet.
 func (w *Watcher) Digest() (digest uint64, read time.Duration) {
@@ -396,18 +416,48 @@
 	return w.digest, w.readAt
 }
 
+// Watching reports whether this process reads the list at the short interval, with
+// success.
+func (w *Watcher) Watching() bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.respondedAt > 0 && w.clock.Now()-w.respondedAt < MaxWatchAge
+}
+
 // CompareDigest handles the digest of another process's list, which was read at the
 // time at or later, and the recent changes of that list. If the digest differs from
 // that of this process and this process last read the list before at, it applies the
 // changes. If these don't lead to the digest, it reads the list again at once.
 func (w *Watcher) CompareDigest(digest uint64, at time.Duration, changes []Change) {
 	own, read := w.Digest()
-	if digest == 0 || digest == own || at <= read || w.applyChanges(digest, changes) {
+	if digest != 0 && digest == own || at > read && w.applyChanges(digest, changes) {
+		w.mu.Lock()
+		w.recordComplete(at)
+		w.mu.Unlock()
+		return
+	}
+	if digest == 0 || at <= read {
 		return
 	}
 	signal(w.wake)
 }
 
+// recordComplete records that the list was complete at a time. The caller holds the lock.
+func (w *Watcher) recordComplete(at time.Duration) {
+	if at-w.complete > w.settings.MaxGap {
+		w.followed = at
+	}
+	w.complete = max(w.complete, at)
+}
+
+// Followed returns the period in which no change of the list of targets was missed. It
+// implements registrar.List.
+func (w *Watcher) Followed() (since, until time.Duration) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.followed, w.complete
+}
+
 // digestOf returns a digest of the list. It depends neither on the order of the
 // targets nor on their loads, and an empty list does not have the digest 0.
 func digestOf(list []radishspoke.Instance) uint64 {
@@ -421,10 +471,20 @@
 // HandleList handles the result of one read of the list of targets. An error
 // leaves the current list as it is.
 func (w *Watcher) HandleList(list []radishspoke.Instance, err error) {
+	w.handleList(list, w.clock.Now(), err)
+}
+
+// handleList handles the result of a read that was sent at the time sent. A list that was
+// read before the present one is ignored.
+func (w *Watcher) handleList(list []radishspoke.Instance, sent time.Duration, err error) {
 	w.notifying.Lock()
 	defer w.notifying.Unlock()
 	w.mu.Lock()
 	now := w.clock.Now()
+	if err == nil && sent < w.readAt {
+		w.mu.Unlock()
+		return
+	}
 	if err != nil {
 		if !w.listFailed {
 			w.log.Warn("targets can't be listed", "error", err)
@@ -438,7 +498,8 @@
 		w.listFailed, w.recovered = false, now
 	}
 	w.recordChanges(list, now)
-	w.digest, w.readAt = digestOf(list), now
+	w.digest, w.readAt, w.respondedAt = digestOf(list), sent, now
+	w.recordComplete(sent)
 	next := make(map[string]radishspoke.Instance, len(list))
 	for _, i := range list {
 		next[i.ID] = i
--- a/state/fleetwatcher/peers.go
+++ b/state/fleetwatcher/peers.go
@@ -152,6 +152,7 @@
 	// readAt does not change, as other processes rely on it being the time at
 	// which this process itself read the list.
 	w.peerReadAt = read
+	w.recordComplete(read)
 	if s.Digest == w.digest || s.Instances == nil {
 		w.mu.Unlock()
 		return
