Ask further entries for a newer configuration while others do not reply

Cause: the peers to ask were chosen once for a request.

Change: every 0.3 s without a reply, another peer is chosen by what the peers have reported by then. The choice has moved from the entry to the watcher, so that tests in simulated time run it.

--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -72,7 +72,6 @@
 	recorder       *recorder.Recorder
 	retries        *retryBudgets
 	configuration  atomic.Pointer[fleetdispatcher.Configuration] // in force for requests; nil if none is known
-	peerRandom     *rand.Rand                                    // chooses the peer to ask; used by one goroutine only
 	callerServer   *http.Server
 	readyServer    *http.Server
 	peerServer     *http.Server
@@ -126,6 +125,10 @@
 	// passes, the entry calls the engine directly. Round trips take a few ms.
 	sidecarDialTimeout = 150 * time.Millisecond
 
+	// peerStream is the stream of random numbers from which the entries are drawn
+	// that are asked for snapshots.
+	peerStream = 2
+
 	usageInterval = 500 * time.Millisecond
 	sweepInterval = time.Second
 
@@ -166,7 +169,6 @@
 	e.throttler = throttler.New(throttler.Settings{Process: s.Name}, clock, env.Log, e.storeTime.StoreTime, e.peerNames)
 	e.dividers = map[string]*planner.Divider{}
 	e.router = fleetrouter.New(fleetrouter.Settings{Zone: s.Zone}, clock, rand.New(rand.NewPCG(env.Seed, 1)), e.estimator, e.locator, e.forecaster, e.avoider, e.throttler)
-	e.peerRandom = rand.New(rand.NewPCG(env.Seed, 2))
 	e.sequencer = sequencer.New(sequencer.Settings{}, clock)
 	e.targetClient = httpclient.New(targetCallbacks(e.avoider, e.throttler), env.Network, clock)
 	e.sidecarClient = httpclient.New(httpclient.Settings{IdleTimeout: sidecarIdleTimeout, DialTimeout: sidecarDialTimeout}, env.Network, clock)
@@ -237,7 +239,7 @@
 	}
 	e.run(func() { e.watcher.RunConfiguration(ctx) })
 	e.run(func() { e.watcher.RunInstances(ctx) })
-	e.run(func() { e.watcher.RunPeers(ctx, e) })
+	e.run(func() { e.watcher.RunPeers(ctx, e, rand.New(rand.NewPCG(e.env.Seed, peerStream))) })
 	e.run(func() { e.gossiper.RunDiscovery(ctx) })
 	e.run(func() { e.gossiper.RunSend(ctx, timers) })
 	e.run(func() { e.gossiper.RunBeacons(ctx, timers, e.fillBeacon) })
--- a/internal/assembler/fleetgossip.go
+++ b/internal/assembler/fleetgossip.go
@@ -24,8 +24,7 @@
 
 // maxProofAge is the maximum age of the proof that the configuration is the
 // newest. An entry with an older proof watches the platform itself. It is also the
-// maximum age of a list of targets of which sidecars are notified, and the timeout
-// of a request to a peer for a snapshot.
+// maximum age of a list of targets of which sidecars are notified.
 const maxProofAge = 2500 * time.Millisecond
 
 // mustWatch returns whether this entry has to read from the platform at short
@@ -33,11 +32,7 @@
 // few of the entries with lesser names do, or if its proof that its configuration
 // is the newest is older than maxProofAge.
 func (e *FleetEntry) mustWatch() bool {
-	var others []fleetwatcher.PeerState
-	for _, p := range e.gossiper.Peers() {
-		others = append(others, fleetwatcher.PeerState{Process: p.Process, Watching: p.Watching})
-	}
-	return fleetwatcher.MustWatch(e.settings.Name, others) || e.env.Clock.Now()-e.watcher.Proof() > maxProofAge
+	return fleetwatcher.MustWatch(e.settings.Name, e.PeerStates()) || e.env.Clock.Now()-e.watcher.Proof() > maxProofAge
 }
 
 // fillGossip sets the fields of an outgoing gossip message to the state of this
--- a/internal/assembler/oddrows_test.go
+++ b/internal/assembler/oddrows_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -99,15 +100,20 @@
 // snapshotPeer is another entry that serves its snapshot.
 type snapshotPeer struct{ entry *FleetEntry }
 
+// PeerStates implements fleetwatcher.Peers.
+func (p snapshotPeer) PeerStates() []fleetwatcher.PeerState {
+	return []fleetwatcher.PeerState{{Process: "from", Address: "from:1", Live: true, Watching: true}}
+}
+
 // FetchSnapshot implements fleetwatcher.Peers.
-func (p snapshotPeer) FetchSnapshot(context.Context, int64, uint64) (fleetwatcher.Snapshot, bool, error) {
+func (p snapshotPeer) FetchSnapshot(context.Context, string, int64, uint64) (fleetwatcher.Snapshot, error) {
 	w := httptest.NewRecorder()
 	p.entry.serveSnapshot(w, httptest.NewRequest(http.MethodGet, snapshotPath+"?version=0&digest=0", nil))
 	var s fleetwatcher.Snapshot
 	if err := json.Unmarshal(w.Body.Bytes(), &s); err != nil {
-		return fleetwatcher.Snapshot{}, false, fmt.Errorf("decode snapshot: %w", err)
+		return fleetwatcher.Snapshot{}, fmt.Errorf("decode snapshot: %w", err)
 	}
-	return s, true, nil
+	return s, nil
 }
 
 // followBySnapshot returns the ids of the targets of a process that does not reach the
@@ -121,7 +127,7 @@
 		w.HandleList(nil, radishspoke.ErrUnavailable)
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		defer cancel()
-		w.RunPeers(ctx, snapshotPeer{&FleetEntry{watcher: from, env: fleetEnv()}})
+		w.RunPeers(ctx, snapshotPeer{&FleetEntry{watcher: from, env: fleetEnv()}}, rand.New(rand.NewPCG(1, 1)))
 		out = ids(w)
 	})
 	return out
--- a/state/fleetwatcher/fleetwatcher_test.go
+++ b/state/fleetwatcher/fleetwatcher_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -197,14 +198,18 @@
 	unreachable atomic.Bool
 }
 
-func (p *peers) FetchSnapshot(_ context.Context, version int64, digest uint64) (fleetwatcher.Snapshot, bool, error) {
+func (p *peers) PeerStates() []fleetwatcher.PeerState {
+	return []fleetwatcher.PeerState{{Process: "p", Address: "p:1", Live: true, Watching: !p.unreachable.Load()}}
+}
+
+func (p *peers) FetchSnapshot(_ context.Context, _ string, version int64, digest uint64) (fleetwatcher.Snapshot, error) {
 	p.calls.Add(1)
-	if p.unreachable.Load() {
-		return fleetwatcher.Snapshot{}, false, nil
-	}
-	return p.snapshot(version, digest), true, nil
+	return p.snapshot(version, digest), nil
 }
 
+// newRandom returns the random source of tests.
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 1)) }
+
 // TestDisconnected disconnects one process from the platform while another one
 // sees a new configuration and a changed list of targets. The first must get both
 // from the second, with their true ages. The time that its Digest returns must
@@ -227,7 +232,7 @@
 		other := startWatcher(two, func([]radishspoke.Instance) {})
 		w := startWatcher(one, func(l []radishspoke.Instance) { listed.Store(&l) })
 		p := &peers{snapshot: other.Snapshot}
-		go w.RunPeers(ctx, p)
+		go w.RunPeers(ctx, p, newRandom())
 		time.Sleep(3 * time.Second)
 		c.Assert(p.calls.Load(), qt.Equals, int64(0)) // peers are asked only while the platform is not reached
 		one.down.Store(true)
@@ -351,7 +356,7 @@
 			Table: &radishspoke.RoutingTable{Version: 1}, Version: 1, ProofAge: -time.Hour, Instances: instances("a"), Digest: 1, ListAge: -time.Hour,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
-		go w.RunPeers(ctx, &peers{snapshot: func(int64, uint64) fleetwatcher.Snapshot { return *next.Load() }})
+		go w.RunPeers(ctx, &peers{snapshot: func(int64, uint64) fleetwatcher.Snapshot { return *next.Load() }}, newRandom())
 		time.Sleep(time.Second)
 		c.Assert(w.Proof() <= clock.Now(), qt.IsTrue, qt.Commentf("proof %v", w.Proof()))
 		next.Store(&fleetwatcher.Snapshot{Version: 1, Instances: instances("b"), Digest: 2})
--- a/state/fleetwatcher/newer_test.go
+++ b/state/fleetwatcher/newer_test.go
@@ -47,7 +47,7 @@
 			peer := fleetwatcher.New(fleetwatcher.Settings{}, nil, clock, nil, discardLog, func(*radishspoke.RoutingTable) {}, nil)
 			ctx, cancel := context.WithCancel(t.Context())
 			go w.RunConfiguration(ctx)
-			go w.RunPeers(ctx, &peers{snapshot: peer.Snapshot})
+			go w.RunPeers(ctx, &peers{snapshot: peer.Snapshot}, newRandom())
 			time.Sleep(200 * time.Millisecond)
 			w.UpdateConfiguration(nil, 1, clock.Now())
 			c.Assert(w.Table().Version, qt.Equals, int64(1))
--- a/state/fleetwatcher/peers.go
+++ b/state/fleetwatcher/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"radishspoke"
@@ -27,12 +29,13 @@
 
 // Peers gives access to other processes that follow the same source.
 type Peers interface {
-	// FetchSnapshot requests a Snapshot from a process that has reported a
-	// configuration newer than version or, if there is none, from one that reaches
-	// the platform. The reply leaves out a configuration that is not newer than
-	// version, and a list of targets that has the given digest. The result ok is
-	// false if no such process is known.
-	FetchSnapshot(ctx context.Context, version int64, digest uint64) (s Snapshot, ok bool, err error)
+	// PeerStates returns the states of the other processes.
+	PeerStates() []PeerState
+
+	// FetchSnapshot requests a Snapshot from the process at an address. The reply
+	// leaves out a configuration that is not newer than version, and a list of targets
+	// that has the given digest.
+	FetchSnapshot(ctx context.Context, address string, version int64, digest uint64) (Snapshot, error)
 }
 
 const (
@@ -45,6 +48,12 @@
 	// configuration that a peer has reported, before it requests it from a peer. The
 	// platform sends a change to all processes within a few round trips.
 	behindDelay = 100 * time.Millisecond
+
+	// hedgeDelay is the time after which another peer is asked for a snapshot while
+	// those before have not replied, as a peer that stands still accepts connections.
+	// The peers that are asked have until peerTimeout to reply.
+	hedgeDelay  = 300 * time.Millisecond
+	peerTimeout = 2500 * time.Millisecond
 )
 
 // Snapshot returns the configuration and the list of targets of this process, for
@@ -71,9 +80,9 @@
 }
 
 // RunPeers requests snapshots from peers while this process does not reach the
-// platform, and when a peer has reported a newer configuration. It returns when ctx
-// ends.
-func (w *Watcher) RunPeers(ctx context.Context, p Peers) {
+// platform, and when a peer has reported a newer configuration. The peers to ask are
+// drawn from random. It returns when ctx ends.
+func (w *Watcher) RunPeers(ctx context.Context, p Peers, random *rand.Rand) {
 	lost := false
 	for w.awaitPeers(ctx) {
 		version, digest := int64(0), uint64(0)
@@ -82,7 +91,7 @@
 		}
 		digest, _ = w.Digest()
 		sent := w.clock.Now()
-		s, ok, err := p.FetchSnapshot(ctx, version, digest)
+		s, ok, err := fetchSnapshot(ctx, p, random, version, digest)
 		if err != nil && !lost && ctx.Err() == nil {
 			w.log.Warn("request to a peer for a snapshot failed", "error", err)
 		}
@@ -93,6 +102,71 @@
 	}
 }
 
+// choosePeer returns the address of a peer that has not been asked for a snapshot: one that has
+// reported a newer configuration or, if there is none, one that reaches the platform.
+func choosePeer(peers []PeerState, version int64, asked map[string]bool, random *rand.Rand) (address string, ok bool) {
+	var newer, watching []string
+	for _, p := range peers {
+		switch {
+		case asked[p.Address]:
+		case p.Live && p.Configuration > version:
+			newer = append(newer, p.Address)
+		case p.Watching:
+			watching = append(watching, p.Address)
+		}
+	}
+	for _, list := range [][]string{newer, watching} {
+		if len(list) > 0 {
+			return list[random.IntN(len(list))], true
+		}
+	}
+	return "", false
+}
+
+// fetchSnapshot requests a snapshot from the first peer that replies. The result ok is
+// false if there are no peers to ask.
+func fetchSnapshot(ctx context.Context, p Peers, random *rand.Rand, version int64, digest uint64) (s Snapshot, ok bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	type reply struct {
+		snapshot Snapshot
+		err      error
+	}
+	replies := make(chan reply) // those that are not waited for end with ctx
+	asked, pending := map[string]bool{}, 0
+	ask := func() {
+		address, ok := choosePeer(p.PeerStates(), version, asked, random)
+		if !ok {
+			return
+		}
+		asked[address] = true
+		pending++
+		go func() {
+			s, err := p.FetchSnapshot(ctx, address, version, digest)
+			select {
+			case replies <- reply{s, err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	hedge := time.NewTicker(hedgeDelay)
+	defer hedge.Stop()
+	for ask(); pending > 0; ask() {
+		select {
+		case r := <-replies:
+			if r.err == nil {
+				return r.snapshot, true, nil
+			}
+			err = r.err
+			pending--
+		case <-hedge.C:
+		case <-ctx.Done():
+			return Snapshot{}, false, fmt.Errorf("wait for peers: %w", ctx.Err())
+		}
+	}
+	return Snapshot{}, false, err
+}
+
 // awaitPeers returns true when a snapshot of a peer is needed, and false when ctx ends.
 func (w *Watcher) awaitPeers(ctx context.Context) bool {
 	t := time.NewTimer(peerInterval)
--- a/state/fleetwatcher/watch.go
+++ b/state/fleetwatcher/watch.go
@@ -5,6 +5,11 @@
 // PeerState is the state of another process, as reported by that process.
 type PeerState struct {
 	Process string
+	Address string // for requests to it
+	Live    bool   // it was heard of recently
+
+	// Configuration is the version of the configuration that it has, or 0.
+	Configuration int64
 
 	// Watching is true while the process reads the list of targets at the
 	// short interval and its reads succeed.
