Turn most entries away from the store in the soak, and check what they refuse

Twice a run, the store turns all entries but one away for 5 s (no bytes to it, none from it, or refused), while a key is withdrawn and added again. New check 'stale': an entry refuses a key that the configuration has had for more than 2 s, although another undisturbed entry could read it all the time.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -180,6 +180,9 @@
 		c.disconnect()
 	}
 	c.soak.recorder.addRequest(q)
+	if q.status == http.StatusUnauthorized && q.fromEntry {
+		c.soak.checkRefusedKey(q, entry, began)
+	}
 	if !abandons {
 		c.checkCut(k, q, entry, began, budget, err)
 	}
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -74,8 +73,8 @@
 		case 10:
 			switch random.IntN(3) {
 			case 0:
-				add(at, func() { s.store.SetFaults(fake.RowStoreFaults{Status: http.StatusServiceUnavailable}) }, "store unavailable")
-				add(at+long, func() { s.store.SetFaults(fake.RowStoreFaults{}) }, "store available")
+				add(at, func() { s.setStoreDown(true) }, "store unavailable")
+				add(at+long, func() { s.setStoreDown(false) }, "store available")
 			case 1:
 				add(at, func() { s.store.SetFaults(fake.RowStoreFaults{LoseResponses: 5}) }, "store drops the responses to 5 writes")
 			case 2:
@@ -96,6 +95,7 @@
 	add(s.settings.Length, func() { s.badRequest.setActive(false) }, "the caller stops that")
 	s.planRelease(rand.New(rand.NewPCG(s.settings.Seed, 5)), add)
 	s.planSilences(rand.New(rand.NewPCG(s.settings.Seed, 6)), add)
+	s.planTurnedAway(rand.New(rand.NewPCG(s.settings.Seed, 7)), add)
 	begin := s.settings.Quiet + time.Duration(rand.New(rand.NewPCG(s.settings.Seed, 3)).Int64N(int64(s.settings.Length/2)))
 	add(begin, func() { s.badPart.setActive(true) }, "callers send a part that crashes engines")
 	add(s.settings.Length, func() { s.badPart.setActive(false) }, "callers send no such part any more")
--- a/internal/soaker/recorder.go
+++ b/internal/soaker/recorder.go
@@ -21,6 +21,9 @@
 //     waited for a processor;
 //   - revoked: no request with a key that was withdrawn more than 5 s (revokeTime)
 //     ago is sent to a target;
+//   - stale: no entry refuses a key that was added to the configuration more than 2 s
+//     (changeTime) ago, while another entry could read it; the time is longer by that for which
+//     the entry waited for a processor;
 //   - lost: a planned stop of a process interrupts no request;
 //   - cut: no answer is broken off or replaced by a failure before the end of its time budget
 //     while a target that has got the request is sound, even if that is silent for a while;
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -105,6 +105,7 @@
 	badRequest   *crashCheck
 	limit        limitCheck
 	release      release
+	stale        staleCheck
 	entries      []*process
 	sidecars     []*process
 	targets      []*target
@@ -250,7 +251,9 @@
 // setWithdrawn removes a key from the configuration, or adds it again. The
 // revocation time begins when the configuration without the key has been written.
 func (s *Soak) setWithdrawn(key string, withdrawn bool) {
-	if !withdrawn {
+	if withdrawn {
+		s.stale.setValid(key, false)
+	} else {
 		s.recorder.setWithdrawn(key, false)
 	}
 	s.mu.Lock()
@@ -259,6 +262,8 @@
 	s.publishConfiguration()
 	if withdrawn {
 		s.recorder.setWithdrawn(key, true)
+	} else {
+		s.stale.setValid(key, true)
 	}
 }
 
