--- a/state/fleetwatcher/followed_test.go
+++ b/state/fleetwatcher/followed_test.go
@@ -108,3 +108,54 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// listSource is a source whose list a test sets.
+type listSource struct {
+	source
+	list atomic.Pointer[[]radishspoke.Instance]
+}
+
+// Instances implements fleetwatcher.Source.
+func (s *listSource) Instances(context.Context, func(error)) ([]radishspoke.Instance, error) {
+	if s.down.Load() {
+		return nil, radishspoke.ErrUnavailable
+	}
+	return *s.list.Load(), nil
+}
+
+// TestTargetLeavesAfterOwnOutage guards against DRAIN: a target that leaves just after a process
+// was cut off from the platform, while another process was not, is kept for 2 s and longer.
+func TestTargetLeavesAfterOwnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		clock := ticker.NewMonotonicClock()
+		ctx, cancel := context.WithCancel(t.Context())
+		both, one := instances("stays", "leaves"), instances("stays")
+		s := &listSource{}
+		s.list.Store(&both)
+		w := fleetwatcher.New(fleetwatcher.Settings{}, s, clock, func() bool { return false }, discardLog,
+			func(*radishspoke.RoutingTable) {}, func([]radishspoke.Instance) {})
+		peer := fleetwatcher.New(fleetwatcher.Settings{}, nil, clock, nil, discardLog, func(*radishspoke.RoutingTable) {}, func([]radishspoke.Instance) {})
+		peer.HandleList(both, nil)
+		w.HandleList(both, nil)
+		s.down.Store(true)
+		go w.RunInstances(ctx)
+		go w.RunPeers(ctx, &peers{snapshot: peer.Snapshot}, newRandom())
+		for range 5 {
+			time.Sleep(700 * time.Millisecond)
+			peer.HandleList(both, nil)
+		}
+		time.Sleep(100 * time.Millisecond)
+		peer.HandleList(one, nil)
+		s.list.Store(&one)
+		s.down.Store(false)
+		for range 3 { // datagrams of the peer
+			time.Sleep(600 * time.Millisecond)
+			digest, read := peer.Digest()
+			w.CompareDigest(digest, read, peer.Changes(1100*time.Millisecond))
+		}
+		c.Check(w.Instances(), qt.DeepEquals, one)
+		cancel()
+		synctest.Wait()
+	})
+}
