Add a withdrawn key again while the store turns entries away, in the soak

The withdrawal came after the entries were turned away, so that an entry that missed both changes refused nothing. Now the key is withdrawn 1 s before.

--- a/internal/soaker/doc.go
+++ b/internal/soaker/doc.go
@@ -15,7 +15,7 @@
 //   - targets fall silent in the middle of all their answers and go on later;
 //   - engines crash when they begin an answer to a prompt with a certain part;
 //   - API keys are withdrawn;
-//   - the store turns most entries away while a key is withdrawn and added again.
+//   - the store turns most entries away while a withdrawn key is added again.
 //
 // The documentation of Finding lists the checks.
 package soaker
--- a/internal/soaker/stale.go
+++ b/internal/soaker/stale.go
@@ -82,20 +82,21 @@
 }
 
 // planTurnedAway adds the events of times in which the store turns most entries away, while a
-// key is withdrawn and added again.
+// key that was withdrawn before is added again.
 func (s *Soak) planTurnedAway(random *rand.Rand, add func(at time.Duration, apply func(), format string, args ...any)) {
 	for range 2 {
 		at := s.settings.Quiet + time.Duration(random.Int64N(int64(s.settings.Length*2/3)))
 		key := s.keys[random.IntN(len(s.keys))]
 		link := []linkState{{StallUpstream: true}, {StallDownstream: true}, {Refuse: true}}[random.IntN(3)]
 		turned := random.Perm(len(s.entries))[1:]
+		add(at, func() { s.setWithdrawn(key, true) }, "withdraw key %s", key)
+		at += time.Second
 		for _, n := range turned {
 			p := s.entries[n]
 			add(at, func() { p.store.setLink(link, link.Refuse) }, "store turns %s away: %+v", p.name, link)
 			add(at+5*time.Second, func() { p.store.setLink(linkState{}, false) }, "store serves %s", p.name)
 		}
 		at += time.Duration(random.Int64N(int64(time.Second)))
-		add(at, func() { s.setWithdrawn(key, true) }, "withdraw key %s", key)
-		add(at+time.Second, func() { s.setWithdrawn(key, false) }, "key %s is valid again", key)
+		add(at, func() { s.setWithdrawn(key, false) }, "key %s is valid again", key)
 	}
 }
