--- a/state/fleetwatcher/doc.go
+++ b/state/fleetwatcher/doc.go
@@ -2,7 +2,11 @@
 // configuration, the last time at which it was known to be the newest, and the
 // list of targets.
 //
-// The version of the configuration never decreases. A target that disappears
+// The version of the configuration never decreases. A process that hears of a newer one
+// from another process requests it there, as its own call to the platform may hang.
+//
+// A list has the time at which the call was sent that read it, and the process knows since
+// when it has missed no change of the list. A target that disappears
 // from the list is dropped at once, except shortly after the list could not be
 // read: during an outage the platform drops targets that are still alive, and
 // lists them again soon after the outage.
--- a/state/fleetwatcher/refresh.go
+++ b/state/fleetwatcher/refresh.go
@@ -57,3 +57,19 @@
 	r.err = w.ReadInstances(ctx)
 	close(r.done)
 }
+
+// recordComplete records that the list was complete at a time. The caller holds the lock.
+func (w *Watcher) recordComplete(at time.Duration) {
+	if at-w.complete > w.settings.MaxGap {
+		w.followed = at
+	}
+	w.complete = max(w.complete, at)
+}
+
+// Followed returns the period in which no change of the list of targets was missed. It
+// implements registrar.List.
+func (w *Watcher) Followed() (since, until time.Duration) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.followed, w.complete
+}
