State what the gap in following the list of targets does not notice

The comment said that no target can come and go within 2.5 s, which does not follow from the 2 s for which one that leaves is listed.

--- a/state/fleetwatcher/fleetwatcher.go
+++ b/state/fleetwatcher/fleetwatcher.go
@@ -54,9 +54,10 @@
 	MissingGrace time.Duration
 
 	// MaxGap is the longest time between two proofs that the list is complete, reads of
-	// it or digests of other processes, within which no target can have come and gone. Zero
-	// means 2.5 s: a target is listed for longer, as one that leaves serves for 2 s
-	// and one that is silent is listed for three heartbeats.
+	// it or digests of other processes, in which changes do not count as missed. Zero
+	// means 2.5 s. A target that joins and is gone within that time is not noticed: it
+	// must say that it leaves within 0.5 s of joining, as it is listed for 2 s after that,
+	// or longer if it is silent.
 	MaxGap time.Duration
 }
 
