Add a failing test of a key withdrawn on the way to the successor

A caller saw its stream end in the middle although its engine, which had been silent for 1.9 s, went on. The attempt had been given up, the key of the request was valid then, and was withdrawn while the prompt was prefilled for the successor (0.6 s); checkKey refused the send, and nothing was left to return to.

The log has "silent attempt given up" and then "broken off: key is withdrawn".

--- a/coordination/fleetdispatcher/randompauses_test.go
+++ b/coordination/fleetdispatcher/randompauses_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -131,31 +130,6 @@
 	n.resumed++
 }
 
-// changingTable is a routing table that is replaced by newer versions.
-type changingTable struct {
-	mu    sync.Mutex
-	table *radishspoke.RoutingTable
-}
-
-func (t *changingTable) Configuration() *Configuration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return &Configuration{Table: t.table}
-}
-
-// change puts a version in force in which the timeouts of the routes differ.
-func (t *changingTable) change() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	next := *t.table
-	next.Version++
-	next.Rules = append([]radishspoke.PathRule(nil), next.Rules...)
-	for i := range next.Rules {
-		next.Rules[i].Timeout += time.Second
-	}
-	t.table = &next
-}
-
 // TestRandomPauses guards against answers that end early, or are joined wrongly, because sound
 // targets pause at random beside changes of the configuration: each request ends whole, or in a
 // failure with its id.
@@ -180,7 +154,7 @@
 			if role != "" {
 				learnFirstEvent(d, f.draw(900*time.Millisecond))
 			}
-			table := &changingTable{table: d.Configurations.Configuration().Table}
+			table := newChangingTable(d.Configurations.Configuration().Table)
 			observed := &counts{Recorder: recorder.New()}
 			d.Configurations, d.Recorder = table, observed
 			var callers sync.WaitGroup
@@ -201,18 +175,14 @@
 							return
 						}
 						c.Check(aborted, qt.IsNil, qt.Commentf("seed %d, %s: %q", seed, id, w.Body))
-						var want strings.Builder
-						for e := range lastEvent + 1 {
-							_, _ = fmt.Fprintf(&want, "id:%d\ndata:x\n\n", e)
-						}
-						c.Check(w.Body.String(), qt.Equals, want.String(), qt.Commentf("seed %d, %s", seed, id))
+						c.Check(w.Body.String(), qt.Equals, wholeStream(), qt.Commentf("seed %d, %s", seed, id))
 					}()
 					d.ServeHTTP(w, r)
 				})
 			}
 			for range changes {
 				time.Sleep(length / changes)
-				table.change()
+				table.setRules(func(r *radishspoke.PathRule) { r.Timeout += time.Second })
 				f.pause(targets)
 			}
 			callers.Wait()
--- a/coordination/fleetdispatcher/silence_test.go
+++ b/coordination/fleetdispatcher/silence_test.go
@@ -271,6 +271,16 @@
 // serveOnce sends one request to a dispatcher and waits until all targets have noticed its
 // end. It reports whether the answer was aborted.
 func serveOnce(c *qt.C, d *Dispatcher, n *memoryNetwork, prompt int) (w *timedWriter, aborted bool) {
+	r := httptest.NewRequestWithContext(c.Context(), http.MethodPost, "/", nil)
+	r.Host = "h"
+	r.Header = platform.EncodeRequest(platform.CallerHeader{
+		ID: "r1", Deadline: 15 * time.Second, Generation: &radishspoke.GenerationInfo{Model: "m", Prompt: prompt, Output: 10},
+	})
+	return serveRequest(d, n, r)
+}
+
+// serveRequest is like serveOnce, for any request.
+func serveRequest(d *Dispatcher, n *memoryNetwork, r *http.Request) (w *timedWriter, aborted bool) {
 	defer func() {
 		time.Sleep(2 * silence)
 		for address := range n.targets {
@@ -278,11 +288,6 @@
 		}
 	}()
 	w = &timedWriter{ResponseRecorder: httptest.NewRecorder()}
-	r := httptest.NewRequestWithContext(c.Context(), http.MethodPost, "/", nil)
-	r.Host = "h"
-	r.Header = platform.EncodeRequest(platform.CallerHeader{
-		ID: "r1", Deadline: 15 * time.Second, Generation: &radishspoke.GenerationInfo{Model: "m", Prompt: prompt, Output: 10},
-	})
 	defer func() {
 		if v := recover(); v == http.ErrAbortHandler {
 			aborted = true
--- /dev/null
+++ b/coordination/fleetdispatcher/withdrawal_test.go
@@ -0,0 +1,93 @@
+package fleetdispatcher
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"radishspoke"
+	"radishspoke/platform"
+)
+
+// wholeStream returns the events of a whole stream.
+func wholeStream() string {
+	var b strings.Builder
+	for i := range lastEvent + 1 {
+		_, _ = fmt.Fprintf(&b, "id:%d\ndata:x\n\n", i)
+	}
+	return b.String()
+}
+
+// TestKeyWithdrawnBeforeSuccessorIsAsked guards against a stream that is cut because its key
+// was withdrawn while the prompt was prefilled for the successor of its silent engine.
+func TestKeyWithdrawnBeforeSuccessorIsAsked(t *testing.T) {
+	const (
+		moments  = 80
+		step     = 40 * time.Millisecond  // between two moments
+		prefill  = 600 * time.Millisecond // of the prompt
+		pause    = 1900 * time.Millisecond
+		first    = 350 * time.Millisecond // expected time of the first event
+		deadline = 15 * time.Second
+	)
+	prefillSlowly := func(conn net.Conn, r *http.Request) {
+		time.Sleep(prefill)
+		prefillPrompt(conn, r)
+	}
+	pauseOnce := func(conn net.Conn, r *http.Request) {
+		if in, err := platform.DecodeRequest(r.Header); err != nil || in.LastEvent != "" {
+			goOn(conn, r)
+			return
+		}
+		writeHead(conn, r)
+		writeEvents(conn, 0, 2)
+		time.Sleep(pause)
+		writeEvents(conn, 3, lastEvent)
+		writeEnd(conn)
+	}
+	cut, refused, whole := 0, 0, 0
+	for seed := range uint64(2) {
+		for i := range moments {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				n := &memoryNetwork{targets: map[string]answerFunc{"a:1": pauseOnce, "b:1": pauseOnce, "prefill:1": prefillSlowly}}
+				d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, seed)
+				learnFirstEvent(d, first)
+				table := newChangingTable(d.Configurations.Configuration().Table)
+				secret := table.requireKeys(radishspoke.TeamRule{Name: "t"})
+				d.Configurations, d.KeyTrust, d.RateLimiter, d.Usage = table, alwaysTrusted{d.Clock}, noLimits{}, noUsage{}
+				withdrawal := time.AfterFunc(time.Duration(i)*step, func() { table.setKeys(nil) })
+				defer withdrawal.Stop()
+				r := httptest.NewRequestWithContext(c.Context(), http.MethodPost, "/", nil)
+				r.Host = "h"
+				r.Header = platform.EncodeRequest(platform.CallerHeader{
+					ID: "r1", Secret: secret, Deadline: deadline, Generation: &radishspoke.GenerationInfo{Model: "m", Prompt: longPrompt, Output: 10},
+				})
+				w, aborted := serveRequest(d, n, r)
+				switch {
+				case w.Code == http.StatusUnauthorized:
+					refused++
+					for _, target := range n.requests() {
+						c.Check(target, qt.Equals, "prefill:1", qt.Commentf("refused, but sent to %v", n.requests()))
+					}
+				case aborted:
+					cut++
+					t.Logf("cut: seed %d, key withdrawn at %v, sent to %v, %q", seed, time.Duration(i)*step, n.requests(), w.Body)
+				default:
+					whole++
+					c.Check(w.Code, qt.Equals, http.StatusOK, qt.Commentf("%s; sent to %v", w.Body, n.requests()))
+					c.Check(w.Body.String(), qt.Equals, wholeStream())
+				}
+			})
+		}
+	}
+	t.Logf("%d whole, %d refused, %d cut", whole, refused, cut)
+	qt.Assert(t, cut, qt.Equals, 0)
+	qt.Assert(t, whole > 0 && refused > 0, qt.IsTrue)
+}
