Keep a silent attempt open until another target has begun to answer

What callers saw: a request that its target would have answered ended with 502, or a stream was cut, because its target was silent for a moment and the target chosen in its place did not take the request, could not be reached, or was not asked at all since the key was withdrawn meanwhile.

Cause: an attempt was ended when another target was expected to take the request. What could still say no came after that: the key, the quarantine, the prefill, the other target, the retry budget.

The timer of an attempt now asks another target beside the silent one and ends the attempt only when that one has sent the header of a successful answer. Engines send it with the first token, so that two runs overlap for the way of the header. What the silent target sends before that goes on, and the other attempt ends. Returning to targets that were given up, and the retries for it, are gone.

In TestSlowAndStalledStreams the other target of the rig now answers, as the stalled one would not be given up otherwise; its checks are the same.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -33,7 +33,8 @@
 	minSilence = 500 * time.Millisecond
 )
 
-// errSilent is returned for an attempt that was given up because its target was silent.
+// errSilent is returned for an attempt that was given up because its target was silent and
+// another one has begun to answer.
 var errSilent = errors.New("target was silent")
 
 // headTimeout returns the time that a target may take to send the response header before
@@ -61,29 +62,37 @@
 	return max(minSilence, left-restartFactor*restart-transitTime)
 }
 
-// attemptTimer ends an attempt whose target is silent, once another target is expected to
-// take the request. It does nothing if the request may not run again, or if attempts or time
-// are not left.
+// attemptTimer supervises an attempt. While its target is silent, another target is asked for
+// the answer, and the attempt ends once that one has begun to answer. The timer does nothing if
+// the request may not run again, or if attempts or time are not left.
 type attemptTimer struct {
 	dispatcher *Dispatcher
+	ctx        context.Context    // of the request
 	cancel     context.CancelFunc // of the context of the attempt
 
-	mu        sync.Mutex
-	timer     *time.Timer // nil if the attempt is not given up any more
-	held      bool        // the attempt makes progress
-	job       job         // as of the last progress
-	since     time.Duration
-	limit     time.Duration // maximum time without progress
-	asked     bool          // a target was asked for the answer, not only for a prefill
-	charges   int           // retries taken from the budget
-	givenUp   bool
-	successor *radishspoke.Instance // nil if none is reserved
+	mu          sync.Mutex
+	timer       *time.Timer // nil if the attempt is not supervised any more
+	held        bool        // the attempt makes progress, or has ended
+	job         job         // as of the last progress
+	since       time.Duration
+	limit       time.Duration // maximum time without progress
+	asked       bool          // a target was asked for the answer, not only for a prefill
+	search      *search       // nil if no other target is being asked
+	runs        int           // number of other targets that may have run the request
+	replacement *replacement  // nil until another target has begun to answer
+}
+
+// search is one try to have another target answer.
+type search struct {
+	cancel context.CancelFunc
+	done   chan struct{} // closed after the search has ended
+	sent   bool          // a target was asked for the answer
 }
 
 // startAttempt returns the context and the timer of one attempt of a request.
 func (d *Dispatcher) startAttempt(ctx context.Context, j *job) (context.Context, *attemptTimer) {
-	ctx, cancel := context.WithCancel(ctx)
-	t := &attemptTimer{dispatcher: d, cancel: cancel, limit: headTimeout(j.rule), since: d.Clock.Now()}
+	t := &attemptTimer{dispatcher: d, ctx: ctx, limit: headTimeout(j.rule), since: d.Clock.Now()}
+	ctx, t.cancel = context.WithCancel(ctx)
 	if j.idempotent() && !j.trial && j.attempts+1 < j.rule.Attempts && t.since+2*t.limit < j.deadline {
 		t.job = *j
 		t.job.excluded = maps.Clone(j.excluded)
@@ -96,13 +105,19 @@
 
 // ask records that a target is asked for the answer.
 func (t *attemptTimer) ask() {
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.asked = true
 }
 
-// avoid keeps a target from being the successor.
+// avoid keeps a target from being asked in place of the current one.
 func (t *attemptTimer) avoid(id string) {
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.timer != nil {
@@ -116,28 +131,45 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.held = true
-	return !t.givenUp
+	t.abandon()
+	return t.replacement == nil
 }
 
 // reset records progress of the attempt for j, and sets the time that may pass without
 // further progress.
 func (t *attemptTimer) reset(j *job, limit time.Duration) {
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.timer == nil || t.givenUp {
+	if t.timer == nil || t.replacement != nil {
 		return
 	}
+	t.abandon()
 	t.held, t.since, t.limit = false, t.dispatcher.Clock.Now(), limit
 	t.job.software, t.job.firstEvent, t.job.startBy, t.job.incoming.LastEvent = j.software, j.firstEvent, j.startBy, j.incoming.LastEvent
 	t.timer.Reset(limit)
 }
 
-// check gives the attempt up if there has been no progress for too long and another target
-// is expected to take the request.
+// abandon ends a search whose result is not needed. The timer must be locked.
+func (t *attemptTimer) abandon() {
+	if t.search == nil {
+		return
+	}
+	t.search.cancel()
+	if t.search.sent {
+		t.runs++
+	}
+	t.search = nil
+}
+
+// check begins a search if there has been no progress for too long and another target is
+// expected to take the request.
 func (t *attemptTimer) check() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.timer == nil || t.held || t.givenUp {
+	if t.timer == nil || t.held || t.search != nil || t.replacement != nil {
 		return
 	}
 	silent := t.dispatcher.Clock.Now() - t.since
@@ -145,110 +177,149 @@
 		t.timer.Reset(t.limit - silent)
 		return
 	}
-	if !t.findSuccessor() {
+	next := t.nextAttempt()
+	if next == nil {
 		t.timer.Reset(successorInterval)
 		return
 	}
-	t.givenUp = true
-	t.dispatcher.Recorder.ObserveGiveUp()
-	t.dispatcher.Log.Warn("silent attempt given up", "id", t.job.incoming.ID, "target", t.job.current.ID, "after", silent)
-	t.cancel()
+	ctx, cancel := context.WithCancel(t.ctx)
+	t.search = &search{cancel: cancel, done: make(chan struct{})}
+	go t.replace(ctx, t.search, next)
 }
 
-// findSuccessor reports whether the request can go on at another target. It takes the
-// retries that this needs from the budget. Unless the prompt has to be prefilled by another
-// engine first, it also reserves the target. The timer must be locked.
-func (t *attemptTimer) findSuccessor() bool {
-	d, j, now := t.dispatcher, &t.job, t.dispatcher.Clock.Now()
+// replace asks another target for the answer and, if that one begins to answer while the
+// attempt is still silent, ends the attempt.
+func (t *attemptTimer) replace(ctx context.Context, s *search, next *job) {
+	defer close(s.done)
+	attempts := next.attempts
+	r := t.dispatcher.beginElsewhere(ctx, next, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		s.sent = true
+	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.search != s: // there has been progress since, or the attempt has ended
+		s.cancel()
+		if r != nil {
+			t.dispatcher.discard(r)
+		}
+	case r == nil:
+		s.cancel()
+		t.search = nil
+		t.runs += next.attempts - attempts
+		t.job.excluded = next.excluded
+		if t.timer != nil {
+			t.timer.Reset(successorInterval)
+		}
+	default:
+		r.cancel = s.cancel
+		t.search, t.replacement = nil, r
+		t.dispatcher.Recorder.ObserveGiveUp()
+		t.dispatcher.Log.Warn("silent attempt given up", "id", t.job.incoming.ID, "target", t.job.current.ID, "after", t.dispatcher.Clock.Now()-t.since, "successor", next.current.ID)
+		t.cancel()
+	}
+}
+
+// nextAttempt returns the request as it is sent to another target, or nil if none is expected to
+// take it. It takes the retries that this needs from the budget. Unless the prompt has to be
+// prefilled by another engine first, it also reserves the target. The timer must be locked.
+func (t *attemptTimer) nextAttempt() *job {
+	d, next, now := t.dispatcher, t.job, t.dispatcher.Clock.Now()
+	j := &next
+	j.excluded = maps.Clone(j.excluded)
+	j.requested = true
 	restart := d.restartTime(j)
-	if !j.idempotent() || now+restart >= j.startBy {
-		return false
+	if !j.idempotent() || j.attempts+t.runs+1 >= j.rule.Attempts || now+restart >= j.startBy {
+		return nil
 	}
-	if _, _, refused := d.Quarantine.Refuses(j.subject()); refused || j.key.Hash != "" && d.Configurations.Configuration().Keys.Valid(j.key) != nil {
-		return false
+	if _, _, refused := d.Quarantine.Refuses(j.subject()); refused || d.checkKey(j) != nil {
+		return nil
 	}
-	// Once the caller has a part of the answer, the successor must go on soon. Shortly before
+	// Once the caller has a part of the answer, the other target must go on soon. Shortly before
 	// the caller leaves, a target with other work is better than none.
 	sel := j.selection()
 	sel.Free = j.firstEvent > 0 && now+restart+transitTime < j.startBy
-	charges := 1
-	if j.firstEvent > 0 {
-		charges++ // to return to the silent target, if the successor does not take the request
-	}
-	plain := j.group.Engine == nil || j.incoming.Generation == nil
-	role := radishspoke.DecodeRole
-	if plain {
-		role = ""
-	}
-	if !d.Router.Has(j.group.Name, role, sel) {
-		return false
+	if !d.Router.Has(j.group.Name, j.answerRole(), sel) {
+		return nil
 	}
-	if !plain && d.readSeparately(j) {
+	if !j.plain() && d.readSeparately(j) {
 		left := j.startBy - now - d.Estimator.Timing(j.group.Name).FirstEvent
-		return d.Router.CanPrefill(j.group, j.incoming.Generation, d.expectedWait, left, j.selection()) && t.charge(charges+1)
+		if !d.Router.CanPrefill(j.group, j.incoming.Generation, d.expectedWait, left, j.selection()) || !d.charge(j, 2) {
+			return nil
+		}
+		return j
 	}
-	if !t.charge(charges) {
-		return false
+	if !d.charge(j, 1) {
+		return nil
 	}
 	pick := d.Router.PickShort
-	if plain {
+	if j.plain() {
 		pick = d.Router.PickPlain
 	}
-	next, err := pick(j.group.Name, sel)
+	target, err := pick(j.group.Name, sel)
 	if err != nil {
-		return false
+		d.settle(j)
+		return nil
 	}
-	t.successor = &next
-	return true
+	j.successor = &target
+	return j
 }
 
-// charge takes retries from the budget until the attempt has n, and reports whether it has.
-// The timer must be locked.
-func (t *attemptTimer) charge(n int) bool {
-	for ; t.charges < n; t.charges++ {
-		if !t.dispatcher.RetryBudgets.Retry(t.job.group.Name) {
-			t.refund()
-			return false
-		}
-	}
-	return true
-}
-
-// refund returns the retries of the attempt to the budget. The timer must be locked.
-func (t *attemptTimer) refund() {
-	for ; t.charges > 0; t.charges-- {
-		t.dispatcher.RetryBudgets.Return(t.job.group.Name)
-	}
-}
-
-// finish ends the supervision of the attempt and reports whether it was given up. If it was,
-// j gets the successor and the retries.
+// finish ends the supervision of an attempt that has failed and reports whether it was given
+// up. If another target is being asked, finish waits for the outcome. If one has begun to
+// answer, j goes on with it.
 func (t *attemptTimer) finish(j *job) bool {
 	if t == nil {
 		return false
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.timer == nil {
-		return t.givenUp
+	t.held = true
+	for t.search != nil {
+		done := t.search.done
+		t.mu.Unlock()
+		<-done
+		t.mu.Lock()
 	}
-	t.timer.Stop()
-	t.timer = nil
-	if !t.givenUp {
-		t.refund()
-		return false
+	defer t.mu.Unlock()
+	return t.close(j)
+}
+
+// close is finish for callers that hold the lock, without a search.
+func (t *attemptTimer) close(j *job) bool {
+	if t.timer != nil {
+		t.timer.Stop()
+		t.timer = nil
+		j.attempts += t.runs
+		if t.replacement != nil {
+			j.adopt(t.replacement)
+		}
 	}
-	j.successor, j.credits = t.successor, j.credits+t.charges
-	j.silent = append(j.silent, t.job.current.ID)
-	return true
+	return t.replacement != nil
 }
 
 // end ends the attempt.
 func (t *attemptTimer) end(j *job) {
-	t.finish(j)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.abandon()
+	t.close(j)
 	t.cancel()
 }
 
+// charge takes n retries from the budget for a request, or none. It reports whether it has.
+func (d *Dispatcher) charge(j *job, n int) bool {
+	for range n {
+		if !d.RetryBudgets.Retry(j.group.Name) {
+			d.settle(j)
+			return false
+		}
+		j.credits++
+	}
+	return true
+}
+
 // takeRetry takes a retry for a request: one that has been taken from the budget before, or
 // one from the budget.
 func (d *Dispatcher) takeRetry(j *job) bool {
@@ -261,6 +332,10 @@
 
 // settle releases what is reserved for further attempts of a request that has ended.
 func (d *Dispatcher) settle(j *job) {
+	if j.replacement != nil {
+		d.discard(j.replacement)
+		j.replacement = nil
+	}
 	if j.successor != nil {
 		d.Router.Unpick(j.successor.ID)
 		j.successor = nil
@@ -269,15 +344,3 @@
 		d.RetryBudgets.Return(j.group.Name)
 	}
 }
-
-// readmitSilent makes targets that were given up for silence eligible again. It returns false
-// if there are none.
-func (j *job) readmitSilent() bool {
-	found := false
-	for _, id := range j.silent {
-		found = found || j.excluded[id]
-		delete(j.excluded, id)
-	}
-	j.silent = nil
-	return found
-}
--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -285,10 +285,10 @@
 	}
 	d.RetryBudgets.Request(j.group.Name)
 	defer d.settle(j)
-	if j.group.Engine != nil && j.incoming.Generation != nil {
-		return d.serveGeneration(ctx, j, aw)
+	if j.plain() {
+		return d.servePlain(ctx, j, aw)
 	}
-	return d.servePlain(ctx, j, aw)
+	return d.serveGeneration(ctx, j, aw)
 }
 
 // admit checks a request and sets the fields of its job. It returns a failure if
--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -55,42 +55,8 @@
 func (d *Dispatcher) serveGeneration(ctx context.Context, j *job, aw *answerWriter) *radishspoke.Failure {
 	lastReason := "no engine"
 	for {
-		if fail := d.checkQuarantine(j); fail != nil {
-			if j.kept != nil {
-				relayer.ReleaseHandle(d.Targets, j.kept.handle, d.Log)
-			}
-			return fail
-		}
-		var p prefillPlan
-		switch {
-		case j.kept != nil:
-			p, j.kept = *j.kept, nil
-		case j.successor != nil:
-			p.decoder, j.successor = j.successor, nil
-		default:
-			var fail *radishspoke.Failure
-			if p, fail = d.planPrefill(ctx, j); fail != nil && !j.readmitSilent() {
-				return fail
-			}
-		}
-		if p.decoder == nil {
-			t, err := d.pickDecode(j, p)
-			if err != nil {
-				relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
-				if j.software != "" {
-					return d.noVersion(j)
-				}
-				return d.noTarget(j, radishspoke.DecodeRole, "engine", lastReason+": "+err.Error())
-			}
-			p.decoder = &t
-		}
-		fail := d.checkKey(j)
-		if fail == nil {
-			fail = d.checkQuarantine(j)
-		}
+		p, fail := d.planAttempt(ctx, j, lastReason)
 		if fail != nil {
-			relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
-			p.end(0)
 			return fail
 		}
 		next, reason := d.attemptStream(ctx, j, aw, p)
@@ -110,19 +76,54 @@
 	}
 }
 
-// pickDecode chooses the engine that generates the answer.
-func (d *Dispatcher) pickDecode(j *job, p prefillPlan) (radishspoke.Instance, error) {
-	pick := func() (radishspoke.Instance, error) {
-		if p.prefillID == "" {
-			return d.Router.PickShort(j.group.Name, j.selection())
+// planAttempt decides where the prompt of the next attempt is prefilled and which engine
+// generates the answer, unless that has begun in place of a silent attempt. The reason is that
+// of the last failure.
+func (d *Dispatcher) planAttempt(ctx context.Context, j *job, reason string) (prefillPlan, *radishspoke.Failure) {
+	if j.replacement != nil {
+		return j.replacement.plan, nil
+	}
+	if fail := d.checkQuarantine(j); fail != nil {
+		if j.kept != nil {
+			relayer.ReleaseHandle(d.Targets, j.kept.handle, d.Log)
 		}
-		return d.Router.PickDecode(j.group.Name, p.zone, j.selection())
+		return prefillPlan{}, fail
 	}
-	t, err := pick()
-	if err != nil && j.readmitSilent() {
-		return pick()
+	var p prefillPlan
+	var fail *radishspoke.Failure
+	if j.kept != nil {
+		p, j.kept = *j.kept, nil
+	} else if p, fail = d.planPrefill(ctx, j); fail != nil {
+		return prefillPlan{}, fail
+	}
+	if p.decoder == nil {
+		t, err := d.pickDecode(j, p)
+		if err != nil {
+			relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
+			if j.software != "" {
+				return prefillPlan{}, d.noVersion(j)
+			}
+			return prefillPlan{}, d.noTarget(j, radishspoke.DecodeRole, "engine", reason+": "+err.Error())
+		}
+		p.decoder = &t
+	}
+	if fail = d.checkKey(j); fail == nil {
+		fail = d.checkQuarantine(j)
+	}
+	if fail != nil {
+		relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
+		p.end(0)
+		return prefillPlan{}, fail
+	}
+	return p, nil
+}
+
+// pickDecode chooses the engine that generates the answer.
+func (d *Dispatcher) pickDecode(j *job, p prefillPlan) (radishspoke.Instance, error) {
+	if p.prefillID == "" {
+		return d.Router.PickShort(j.group.Name, j.selection())
 	}
-	return t, err
+	return d.Router.PickDecode(j.group.Name, p.zone, j.selection())
 }
 
 // planPrefill decides where the prompt is prefilled, and picks the decode engine before
--- a/coordination/fleetdispatcher/job.go
+++ b/coordination/fleetdispatcher/job.go
@@ -54,13 +54,12 @@
 	// is none.
 	kept *prefillPlan
 
-	// successor is the target of the next attempt, reserved before the last one was given up
-	// for silence. It is nil if the target is to be chosen. Silent has the ids of the targets
-	// that were given up, and credits is the number of retries taken from the budget in
-	// advance.
-	successor *radishspoke.Instance
-	silent    []string
-	credits   int
+	// successor is a target that is reserved for the next attempt; nil if there is none.
+	// Replacement is the next attempt if its target has begun to answer, or nil. Credits is the
+	// number of retries taken from the budget in advance.
+	successor   *radishspoke.Instance
+	replacement *replacement
+	credits     int
 
 	// queueTime is the time that the prompt waited to be prefilled, prefill the
 	// time that its prefill took, and responseTime the time that the last target
@@ -110,6 +109,19 @@
 	return max(minPatience, objectivePatience*r.Objective, pausePatience*r.Pause)
 }
 
+// plain reports whether the request goes to one target that answers it, and not to engines.
+func (j *job) plain() bool {
+	return j.group.Engine == nil || j.incoming.Generation == nil
+}
+
+// answerRole returns the role of the targets that answer the request.
+func (j *job) answerRole() radishspoke.Role {
+	if j.plain() {
+		return ""
+	}
+	return radishspoke.DecodeRole
+}
+
 // idempotent reports whether the request may run more than once. A stream may not if it has
 // begun at a software version that is not known.
 func (j *job) idempotent() bool {
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -57,17 +58,22 @@
 const (
 	finished decision = iota // no further attempt is made
 	retry                    // another target may be tried
+	direct                   // the request is sent again, not through a sidecar
 )
 
 // decide returns whether a request is sent again after an attempt that gave no
 // answer for the caller. The argument mayHaveRun tells whether the target may have
-// run the request; timer is that of the attempt, or nil. A retry is taken from the
-// retry budget; decide returns finished if the budget is used up.
+// run the request; timer is that of the attempt, or nil. Unless another target has begun
+// to answer already, a retry is taken from the retry budget; decide returns finished if the
+// budget is used up.
 func (d *Dispatcher) decide(ctx context.Context, j *job, mayHaveRun bool, timer *attemptTimer) decision {
 	timer.finish(j)
 	if ctx.Err() != nil || d.Clock.Now() >= j.deadline {
 		return finished
 	}
+	if j.replacement != nil {
+		return retry
+	}
 	if mayHaveRun && (!j.idempotent() || j.attempts >= j.rule.Attempts) {
 		return finished
 	}
@@ -82,18 +88,8 @@
 func (d *Dispatcher) servePlain(ctx context.Context, j *job, aw *answerWriter) *radishspoke.Failure {
 	lastReason := "no target"
 	for {
-		if fail := d.checkQuarantine(j); fail != nil {
-			return fail
-		}
-		t, err := d.pickPlain(j)
-		if err != nil && j.software != "" {
-			return d.noVersion(j)
-		}
-		if err != nil {
-			return d.noTarget(j, "", "target", lastReason+": "+err.Error())
-		}
-		if fail := d.checkKey(j); fail != nil {
-			d.Router.Unpick(t.ID)
+		t, fail := d.planPlain(j, lastReason)
+		if fail != nil {
 			return fail
 		}
 		next, reason := d.attemptPlain(ctx, j, aw, t)
@@ -107,45 +103,55 @@
 	}
 }
 
-// pickPlain returns the target of the next attempt of a plain request.
-func (d *Dispatcher) pickPlain(j *job) (radishspoke.Instance, error) {
-	if t := j.successor; t != nil {
-		j.successor = nil
-		return *t, nil
+// planPlain returns the target of the next attempt of a plain request. The reason is that of the
+// last failure.
+func (d *Dispatcher) planPlain(j *job, reason string) (radishspoke.Instance, *radishspoke.Failure) {
+	if j.replacement != nil {
+		return *j.replacement.plan.decoder, nil
+	}
+	if fail := d.checkQuarantine(j); fail != nil {
+		return radishspoke.Instance{}, fail
 	}
 	t, err := d.Router.PickPlain(j.group.Name, j.selection())
-	if err != nil && j.readmitSilent() {
-		return d.Router.PickPlain(j.group.Name, j.selection())
+	if err != nil && j.software != "" {
+		return t, d.noVersion(j)
+	}
+	if err != nil {
+		return t, d.noTarget(j, "", "target", reason+": "+err.Error())
 	}
-	return t, err
+	if fail := d.checkKey(j); fail != nil {
+		d.Router.Unpick(t.ID)
+		return t, fail
+	}
+	return t, nil
 }
 
-// attemptPlain sends a plain request to one target and copies its answer to the
-// caller. It also returns the reason of a failure, or "" if the answer was copied.
+// attemptPlain sends a plain request to one target, unless that has begun to answer it, and
+// copies the answer to the caller. It also returns the reason of a failure, or "" if the answer
+// was copied.
 func (d *Dispatcher) attemptPlain(ctx context.Context, j *job, aw *answerWriter, t radishspoke.Instance) (decision, string) {
-	j.visit(t)
 	j.current = t
-	d.Router.Begin(t.ID)
+	begun := j.replacement
+	j.replacement = nil
+	if begun == nil {
+		j.visit(t)
+		d.Router.Begin(t.ID)
+	}
 	attemptCtx, timer := d.startAttempt(ctx, j)
 	defer timer.end(j)
-	timer.ask()
-	sent := d.Clock.Now()
-	r, err := d.send(attemptCtx, j, t, platform.TargetHeader{})
-	if err != nil {
-		report := newReport(ctx, nil, err)
-		report.Silent = timer.finish(j)
-		d.Router.End(t.ID, report)
-		mayHaveRun := !errors.Is(err, httpclient.ErrNotSent)
-		if mayHaveRun {
-			j.markRun()
-			d.countBegun(j)
-			d.Targets.CloseIdle(t.Address)
-			if attemptCtx.Err() == nil {
-				d.handleBreak(j, t, sent, err)
-			}
+	if begun == nil {
+		timer.ask()
+		sent := d.Clock.Now()
+		r, err := d.send(attemptCtx, j, t, platform.TargetHeader{})
+		if err != nil {
+			return d.decide(ctx, j, d.plainNotAnswered(attemptCtx, j, t, sent, err, timer), timer), err.Error()
 		}
-		return d.decide(ctx, j, mayHaveRun, timer), err.Error()
+		begun = &replacement{reply: r, sent: sent}
+	} else {
+		defer context.AfterFunc(attemptCtx, begun.cancel)()
+		defer begun.cancel()
 	}
+	r, sent := begun.reply, begun.sent
 	defer r.Close()
 	j.framing = r.framing
 	report := newReport(ctx, r, nil)
@@ -181,6 +187,24 @@
 	return finished, ""
 }
 
+// plainNotAnswered handles a plain request, sent to a target at the given time, that got no
+// answer. It reports whether the target may have run the request. The timer may be nil.
+func (d *Dispatcher) plainNotAnswered(ctx context.Context, j *job, t radishspoke.Instance, sent time.Duration, err error, timer *attemptTimer) (mayHaveRun bool) {
+	report := newReport(ctx, nil, err)
+	report.Silent = timer.finish(j)
+	d.Router.End(t.ID, report)
+	if errors.Is(err, httpclient.ErrNotSent) {
+		return false
+	}
+	j.markRun()
+	d.countBegun(j)
+	d.Targets.CloseIdle(t.Address)
+	if ctx.Err() == nil {
+		d.handleBreak(j, t, sent, err)
+	}
+	return true
+}
+
 // visit records that a request goes to a target and excludes the target from
 // further attempts.
 func (j *job) visit(t radishspoke.Instance) {
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -24,31 +24,36 @@
 	t := *plan.decoder
 	j.current = t
 	defer plan.end(0)
-	j.visit(t)
-	d.Router.Begin(t.ID)
+	begun := j.replacement
+	j.replacement = nil
+	if begun == nil {
+		j.visit(t)
+		d.Router.Begin(t.ID)
+	}
 	attemptCtx, timer := d.startAttempt(ctx, j)
 	defer timer.end(j)
-	sent := d.Clock.Now()
-	r, took, err := d.openStream(attemptCtx, j, plan, timer)
-	if err != nil {
-		return d.streamNotOpened(ctx, j, plan, timer, sent, err)
+	if begun == nil {
+		sent := d.Clock.Now()
+		r, took, err := d.openStream(attemptCtx, j, plan, timer)
+		if err != nil {
+			next, mayHaveRun := d.streamNotOpened(ctx, j, plan, timer, sent, err)
+			if next == retry {
+				next = d.decide(ctx, j, mayHaveRun, timer)
+			}
+			return next, err.Error()
+		}
+		begun = &replacement{reply: r, sent: sent, took: took}
+	} else {
+		defer context.AfterFunc(attemptCtx, begun.cancel)()
+		defer begun.cancel()
 	}
+	r, took, sent := begun.reply, begun.took, begun.sent
 	j.requested = true
 	j.responseTime, j.framing = took, r.framing
 	plan.end(took)
 	defer r.Close()
 	if r.NotRun {
-		d.Router.End(t.ID, plan.newReport(ctx, r, nil, took))
-		if r.Status == http.StatusMisdirectedRequest && plan.handle != nil {
-			// The engine has changed its role and has not looked at the KV cache.
-			plan.decoder, plan.endTurn = nil, nil
-			j.kept = &plan
-		} else {
-			if plan.prefillID != "" {
-				j.excluded[plan.prefillID] = true // its KV cache may have caused the refusal
-			}
-			relayer.ReleaseHandle(d.Targets, plan.handle, d.Log)
-		}
+		d.recordRefusal(ctx, j, plan, r, took)
 		return d.decide(ctx, j, false, timer), "engine does not take the request now"
 	}
 	report := plan.newReport(ctx, r, nil, took)
@@ -79,7 +84,7 @@
 		return finished, ""
 	}
 	d.recordResumption(j)
-	err = d.copyEvents(j, aw, r, timer)
+	err := d.copyEvents(j, aw, r, timer)
 	d.Recorder.ObserveStream(string(r.framing), err == nil, j.partial > 0)
 	if err == nil {
 		d.Quarantine.Completed(j.subject())
@@ -107,23 +112,40 @@
 	return r, d.Clock.Now() - start, err
 }
 
+// recordRefusal handles the answer of a decode engine that does not take a request. The KV cache
+// is kept if the engine has not looked at it.
+func (d *Dispatcher) recordRefusal(ctx context.Context, j *job, plan prefillPlan, r *reply, took time.Duration) {
+	d.Router.End(plan.decoder.ID, plan.newReport(ctx, r, nil, took))
+	if r.Status == http.StatusMisdirectedRequest && plan.handle != nil {
+		// The engine has changed its role.
+		plan.decoder, plan.endTurn = nil, nil
+		j.kept = &plan
+		return
+	}
+	if plan.prefillID != "" {
+		j.excluded[plan.prefillID] = true // its KV cache may have caused the refusal
+	}
+	relayer.ReleaseHandle(d.Targets, plan.handle, d.Log)
+}
+
 // streamNotOpened handles an attempt, sent at the given time, that failed before a
-// decode engine answered. Its results are those of attemptStream.
-func (d *Dispatcher) streamNotOpened(ctx context.Context, j *job, plan prefillPlan, timer *attemptTimer, sent time.Duration, err error) (decision, string) {
+// decode engine answered. It returns finished if no further attempt is of use, and whether
+// an engine may have run the request.
+func (d *Dispatcher) streamNotOpened(ctx context.Context, j *job, plan prefillPlan, timer *attemptTimer, sent time.Duration, err error) (next decision, mayHaveRun bool) {
 	t := *plan.decoder
 	switch {
 	case errors.Is(err, relayer.ErrNotAccepted):
 		d.Router.End(t.ID, fleetrouter.Report{Inconclusive: true})
 		delete(j.excluded, t.ID)
 		if ctx.Err() != nil {
-			return finished, err.Error()
+			return finished, false
 		}
 		j.noRelay = true
-		return retry, err.Error()
+		return direct, false
 	case errors.Is(err, sequencer.ErrDeadlineUnreachable):
 		d.Router.End(t.ID, fleetrouter.Report{Inconclusive: true})
 		j.unreachable = true
-		return finished, err.Error()
+		return finished, false
 	case errors.Is(err, relayer.ErrNotPrefilled):
 		d.Router.End(t.ID, fleetrouter.Report{Inconclusive: true})
 		delete(j.excluded, t.ID)
@@ -131,17 +153,17 @@
 			d.handleBreak(j, *plan.relay, sent, err)
 		}
 		if j.breaks >= maxBreaks {
-			return finished, err.Error()
+			return finished, false
 		}
-		return d.decide(ctx, j, false, timer), err.Error()
+		return retry, false
 	case errors.Is(err, httpclient.ErrNotSent):
 		d.Router.End(t.ID, plan.newReport(ctx, nil, err, 0))
 		relayer.ReleaseHandle(d.Targets, plan.handle, d.Log)
-		return d.decide(ctx, j, false, timer), err.Error()
+		return retry, false
 	}
 	report := plan.newReport(ctx, nil, err, 0)
 	report.Silent = timer.finish(j)
-	report.Inconclusive = report.Inconclusive || !timer.asked
+	report.Inconclusive = report.Inconclusive || timer != nil && !timer.asked
 	d.Router.End(t.ID, report)
 	j.requested = true
 	j.markRun()
@@ -149,7 +171,7 @@
 	if ctx.Err() == nil && !report.Silent {
 		d.handleBreak(j, t, sent, err)
 	}
-	return d.decide(ctx, j, true, timer), err.Error()
+	return retry, true
 }
 
 // newReport returns the report to the router about the outcome of a send,
@@ -209,6 +231,9 @@
 			if len(pending) > 0 || empty && r.framing == httpclient.UntilClose {
 				return eventreader.ErrBrokenOff
 			}
+			if !timer.hold() {
+				return errSilent
+			}
 			return d.forwardEvents(j, aw, r, nil)
 		}
 		if err != nil {
--- a/coordination/fleetdispatcher/stream_test.go
+++ b/coordination/fleetdispatcher/stream_test.go
@@ -1,7 +1,6 @@
 package fleetdispatcher
 
 import (
-	"context"
 	"log/slog"
 	"net"
 	"net/http"
@@ -24,47 +23,42 @@
 	"radishspoke/transport/ticker"
 )
 
-// pipe is a network whose only target runs serve on each connection after it has read
-// the request.
-type pipe struct {
-	radishspoke.Network
-	serve func(net.Conn)
-}
-
-// Dial implements radishspoke.Network.
-func (p pipe) Dial(context.Context, string) (net.Conn, error) {
-	client, target := net.Pipe()
-	go func() {
-		defer func() { _ = target.Close() }()
-		if _, err := target.Read(make([]byte, 4096)); err == nil {
-			p.serve(target)
-		}
-	}()
-	return client, nil
-}
-
 // freeRouter has a target that is always free.
 type freeRouter struct{ Router }
 
 func (freeRouter) Has(string, radishspoke.Role, fleetrouter.Selection) bool { return true }
 
 func (freeRouter) PickPlain(string, fleetrouter.Selection) (radishspoke.Instance, error) {
-	return radishspoke.Instance{ID: "free"}, nil
+	return radishspoke.Instance{ID: "free:1", Address: "free:1"}, nil
 }
 
-// copyFrom copies the stream of a target to a caller, as the first of two attempts. It
-// returns what the caller got, the time that it took, and the error.
+func (freeRouter) Begin(string) {}
+
+func (freeRouter) End(string, fleetrouter.Report) {}
+
+func (freeRouter) Unpick(string) {}
+
+// copyFrom copies the stream of a target to a caller, as the first of two attempts. Another
+// target takes the request. It returns what the caller got, the time that it took, and the
+// error.
 func copyFrom(c *qt.C, serve func(net.Conn)) (string, time.Duration, error) {
 	clock := ticker.NewMonotonicClock()
 	d := New(Dependencies{
 		Quarantine: quarantiner.New(quarantiner.Settings{}, clock, slog.New(slog.DiscardHandler), func() []string { return nil }),
 		Clock:      clock, Estimator: estimator.New(clock), Recorder: recorder.New(), RetryBudgets: &stubBudgets{left: 2}, Router: freeRouter{}, Log: slog.New(slog.DiscardHandler),
-		Targets: httpclient.New(httpclient.Settings{}, pipe{serve: serve}, clock),
+		Targets: httpclient.New(httpclient.Settings{}, &memoryNetwork{targets: map[string]answerFunc{
+			"target:1": func(conn net.Conn, _ *http.Request) {
+				serve(conn)
+				_ = conn.Close()
+			},
+			"free:1": goOn,
+		}}, clock),
 	})
-	j := &job{deadline: clock.Now() + time.Minute, counted: true, software: "v1"}
+	j := &job{excluded: map[string]bool{}, deadline: clock.Now() + time.Minute, counted: true, software: "v1"}
+	j.incoming.ID, j.method, j.target, j.host = "r1", http.MethodPost, "/", "h"
+	j.header = platform.EncodeRequest(platform.CallerHeader{ID: j.incoming.ID})
 	j.rule = radishspoke.PathRule{Kind: radishspoke.Streaming, Resumable: true, Attempts: 2, Objective: 100 * time.Millisecond}
 	ctx, timer := d.startAttempt(c.Context(), j)
-	defer timer.end(j)
 	r, err := d.Targets.Do(ctx, "target:1", &httpclient.Call{Method: http.MethodPost, RequestURI: "/", Host: "h", Header: http.Header{}})
 	c.Assert(err, qt.IsNil)
 	w := httptest.NewRecorder()
@@ -72,7 +66,10 @@
 	err = d.copyEvents(j, &answerWriter{w: w}, &reply{Response: r, AnswerHeader: platform.AnswerHeader{}}, timer)
 	took := clock.Now() - start
 	_ = r.Close()
-	time.Sleep(time.Second) // the target notices that the connection is closed
+	timer.end(j)
+	d.settle(j)
+	d.Targets.CloseIdle("free:1")
+	time.Sleep(time.Second) // the targets notice that their connections are closed
 	return w.Body.String(), took, err
 }
 
