Wait for a silent prefill while no other engine takes its place

What callers saw: 503, truly not run, where the answer would have come: a prefill engine paused for a second, the prefill was given up after four times its expected time and 250 ms, and no retry was left.

Cause: as for attempts, the end of a prefill and whether another engine takes the prompt were two decisions, the first one by time alone.

A prefill that takes too long now ends once another prefill is expected to be done in time and the retry for it is taken. Until then the router avoids the silent engine for further prompts, as it did after a prefill that was given up. Prompts that a sidecar has prefilled keep the time limit of their order.

--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -94,6 +94,7 @@
 	Unpick(target string)
 	Begin(target string)
 	End(target string, r fleetrouter.Report)
+	Silence(target string)
 }
 
 // PromptQueue orders the prompts that wait for an engine. See
--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -258,7 +258,9 @@
 	r := j.request()
 	c := r.Call(platform.TargetHeader{Instance: t.ID, Remaining: j.deadline - d.Clock.Now(), PrefillOnly: true, FetchFrom: p.FetchFrom})
 	began := d.Clock.Now()
-	h, a, err := relayer.Prefill(ctx, d.Targets, t.Address, c, prefillTimeout(j, p, began))
+	prefillCtx, timer := d.startPrefill(ctx, j, p)
+	h, a, err := relayer.Prefill(prefillCtx, d.Targets, t.Address, c, j.deadline-began)
+	timer.end(j)
 	switch {
 	case err == nil:
 		d.Router.End(t.ID, fleetrouter.Report{Waiting: a.Waiting, Slots: a.Slots})
--- a/coordination/fleetrouter/report.go
+++ b/coordination/fleetrouter/report.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// Silence records that a target is silent for longer than expected, while a request still
+// waits for it. The target is ejected unless it is already.
+func (r *Router) Silence(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t, ok := r.targets[id]; ok && r.clock.Now() >= t.ejectedUntil {
+		t.eject(r.clock.Now())
+	}
+}
+
 // recordTransfer updates the transfer statistics of a target and of the engine
 // that held the KV cache.
 func (r *Router) recordTransfer(t *target, rep Report, now time.Duration) {
