Let a stream that has begun go on after its key was withdrawn

What callers saw: a stream whose engine stalled, or broke off, was cut instead of going on elsewhere, because its key had been withdrawn after it had begun.

Cause: the key was asked again before each send, also to go on with an answer. By the design, a withdrawn key stops new and waiting requests, and running answers finish; the users' rule counts from the time at which the caller sends the request.

The key is not asked any more once the caller has the first event. TestStreamGoesOnAfterWithdrawal fails without the change (aborted, sent to [a:1] only) and passes with it.

--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -362,9 +362,9 @@
 
 // checkKey returns a failure if the key of a request may no longer start
 // requests. It is called before each send because the key may have been withdrawn
-// while the request waited.
+// while the request waited. A stream that has begun may go on.
 func (d *Dispatcher) checkKey(j *job) *radishspoke.Failure {
-	if j.key.Hash == "" {
+	if j.key.Hash == "" || j.firstEvent > 0 {
 		return nil
 	}
 	err := d.Configurations.Configuration().Keys.Valid(j.key)
--- a/coordination/fleetdispatcher/relay.go
+++ b/coordination/fleetdispatcher/relay.go
@@ -14,7 +14,7 @@
 
 // latestStart returns the latest time at which a request may start to run.
 func (d *Dispatcher) latestStart(j *job) time.Duration {
-	if j.key.Hash == "" {
+	if j.key.Hash == "" || j.firstEvent > 0 {
 		return j.deadline
 	}
 	return min(j.deadline, d.KeyTrust.TrustedUntil())
--- a/coordination/fleetdispatcher/withdrawal_test.go
+++ b/coordination/fleetdispatcher/withdrawal_test.go
@@ -29,12 +29,11 @@
 // was withdrawn while the prompt was prefilled for the successor of its silent engine.
 func TestKeyWithdrawnBeforeSuccessorIsAsked(t *testing.T) {
 	const (
-		moments  = 80
-		step     = 40 * time.Millisecond  // between two moments
-		prefill  = 600 * time.Millisecond // of the prompt
-		pause    = 1900 * time.Millisecond
-		first    = 350 * time.Millisecond // expected time of the first event
-		deadline = 15 * time.Second
+		moments = 80
+		step    = 40 * time.Millisecond  // between two moments
+		prefill = 600 * time.Millisecond // of the prompt
+		pause   = 1900 * time.Millisecond
+		first   = 350 * time.Millisecond // expected time of the first event
 	)
 	prefillSlowly := func(conn net.Conn, r *http.Request) {
 		time.Sleep(prefill)
@@ -64,12 +63,7 @@
 				d.Configurations, d.KeyTrust, d.RateLimiter, d.Usage = table, alwaysTrusted{d.Clock}, noLimits{}, noUsage{}
 				withdrawal := time.AfterFunc(time.Duration(i)*step, func() { table.setKeys(nil) })
 				defer withdrawal.Stop()
-				r := httptest.NewRequestWithContext(c.Context(), http.MethodPost, "/", nil)
-				r.Host = "h"
-				r.Header = platform.EncodeRequest(platform.CallerHeader{
-					ID: "r1", Secret: secret, Deadline: deadline, Generation: &radishspoke.GenerationInfo{Model: "m", Prompt: longPrompt, Output: 10},
-				})
-				w, aborted := serveRequest(d, n, r)
+				w, aborted := serveRequest(d, n, newKeyRequest(c, secret, longPrompt))
 				switch {
 				case w.Code == http.StatusUnauthorized:
 					refused++
@@ -91,3 +85,34 @@
 	qt.Assert(t, cut, qt.Equals, 0)
 	qt.Assert(t, whole > 0 && refused > 0, qt.IsTrue)
 }
+
+// TestStreamGoesOnAfterWithdrawal guards against a stream that is cut because its key was
+// withdrawn after it had begun and before its engine stalled.
+func TestStreamGoesOnAfterWithdrawal(t *testing.T) {
+	for _, prompt := range []int{shortPrompt, longPrompt} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range uint64(10) {
+				n := &memoryNetwork{targets: map[string]answerFunc{"a:1": stall, "b:1": goOn, "prefill:1": prefillPrompt}}
+				d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, seed)
+				table := newChangingTable(d.Configurations.Configuration().Table)
+				secret := table.requireKeys(radishspoke.TeamRule{Name: "t"})
+				d.Configurations, d.KeyTrust, d.RateLimiter, d.Usage = table, alwaysTrusted{d.Clock}, noLimits{}, noUsage{}
+				time.AfterFunc(silence/2, func() { table.setKeys(nil) })
+				w, aborted := serveRequest(d, n, newKeyRequest(c, secret, prompt))
+				c.Check(aborted, qt.IsFalse, qt.Commentf("%d tokens, sent to %v", prompt, n.requests()))
+				c.Assert(w.Body.String(), qt.Equals, wholeStream())
+			}
+		})
+	}
+}
+
+// newKeyRequest returns a request with a key.
+func newKeyRequest(c *qt.C, secret string, prompt int) *http.Request {
+	r := httptest.NewRequestWithContext(c.Context(), http.MethodPost, "/", nil)
+	r.Host = "h"
+	r.Header = platform.EncodeRequest(platform.CallerHeader{
+		ID: "r1", Secret: secret, Deadline: 15 * time.Second, Generation: &radishspoke.GenerationInfo{Model: "m", Prompt: prompt, Output: 10},
+	})
+	return r
+}
