Pass the failure of a target on if no other target does better

Cause: the answer that had been received was dropped before a better one was certain, as for attempts that are silent.

A failure of a target is kept, up to the size that is buffered for any answer, and sent if the request ends without another answer. TestFailureOfTargetIsPassedOn fails without the change (502) and passes with it; also for engines, where a second failure was 502.

--- a/coordination/fleetdispatcher/answer.go
+++ b/coordination/fleetdispatcher/answer.go
@@ -85,6 +85,33 @@
 	return nil
 }
 
+// keptAnswer is the answer of a target that has failed. The caller gets it if no other target
+// does better.
+type keptAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// keepAnswer reads an answer. It returns an error if the answer is not whole, or is longer than
+// maxBuffered.
+func keepAnswer(r *reply) (*keptAnswer, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxBuffered+1))
+	if err != nil {
+		return nil, fmt.Errorf("read failure of the target: %w", err)
+	}
+	if len(body) > maxBuffered {
+		return nil, errors.New("failure of the target is too long")
+	}
+	return &keptAnswer{status: r.Status, header: r.Header, body: body}, nil
+}
+
+// writeKept sends a kept answer.
+func (aw *answerWriter) writeKept(k *keptAnswer) {
+	aw.writeHead(k.status, k.header)
+	_, _ = aw.w.Write(k.body) // a disconnected caller cancels the context
+}
+
 // readBody reads a body. If size is positive, it is the expected size in bytes.
 func readBody(r io.Reader, size int64) ([]byte, error) {
 	var b bytes.Buffer
--- a/coordination/fleetdispatcher/answer_test.go
+++ b/coordination/fleetdispatcher/answer_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
+
+	"radishspoke"
+	"radishspoke/platform"
 )
 
 // counter is a response writer that counts the bytes of the body.
@@ -55,3 +60,27 @@
 		c.Assert(w.body, qt.Equals, int64(length))
 	}
 }
+
+// TestFailureOfTargetIsPassedOn guards against answers of targets that are replaced by a failure
+// of this process, because no other target takes the request.
+func TestFailureOfTargetIsPassedOn(t *testing.T) {
+	fail := func(conn net.Conn, r *http.Request) {
+		writeStatus(conn, r, platform.AnswerHeader{Stamped: true}, "500 Failed\r\nContent-Length: 4")
+		_, _ = io.WriteString(conn, "mine")
+	}
+	for _, role := range []radishspoke.Role{"", radishspoke.DecodeRole} {
+		for name, other := range map[string]answerFunc{"does not listen": nil, "refuses": writeRefusal, "fails": fail} {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				for seed := range uint64(10) {
+					n := &memoryNetwork{targets: map[string]answerFunc{"a:1": fail, "b:1": other}}
+					w, aborted := serveOnce(c, newSilenceDispatcher(n, role, 9, seed), n, shortPrompt)
+					comment := qt.Commentf("role %q, the other target %s; sent to %v", role, name, n.requests())
+					c.Check(aborted, qt.IsFalse, comment)
+					c.Assert(w.Code, qt.Equals, http.StatusInternalServerError, comment)
+					c.Assert(w.Body.String(), qt.Equals, "mine", comment)
+				}
+			})
+		}
+	}
+}
--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -286,10 +286,16 @@
 	}
 	d.RetryBudgets.Request(j.group.Name)
 	defer d.settle(j)
+	send := d.serveGeneration
 	if j.plain() {
-		return d.servePlain(ctx, j, aw)
+		send = d.servePlain
 	}
-	return d.serveGeneration(ctx, j, aw)
+	fail := send(ctx, j, aw)
+	if fail != nil && j.failed != nil && !aw.started {
+		aw.writeKept(j.failed)
+		return nil
+	}
+	return fail
 }
 
 // admit checks a request and sets the fields of its job. It returns a failure if
--- a/coordination/fleetdispatcher/job.go
+++ b/coordination/fleetdispatcher/job.go
@@ -61,6 +61,8 @@
 	replacement *replacement
 	credits     int
 
+	failed *keptAnswer // of the last target that answered with a failure; nil if none did
+
 	// queueTime is the time that the prompt waited to be prefilled, prefill the
 	// time that its prefill took, and responseTime the time that the last target
 	// took to answer.
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -165,9 +165,13 @@
 	if !r.Stamped {
 		return d.decide(ctx, j, true, timer), "answer does not come from a target"
 	}
-	if r.Status >= http.StatusInternalServerError && j.rule.Kind == radishspoke.Safe && d.decide(ctx, j, true, timer) == retry {
+	if r.Status >= http.StatusInternalServerError && j.rule.Kind == radishspoke.Safe {
+		var err error
+		if j.failed, err = keepAnswer(r); err != nil {
+			return d.decide(ctx, j, true, timer), err.Error()
+		}
 		d.Quarantine.Completed(j.subject())
-		return retry, "target failed"
+		return d.decide(ctx, j, true, timer), "target failed"
 	}
 	if !timer.hold() {
 		report.Silent = true
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -72,8 +72,12 @@
 		return d.decide(ctx, j, true, timer), "answer does not come from a target"
 	}
 	if r.Status != http.StatusOK {
-		if j.idempotent() && d.decide(ctx, j, true, timer) == retry {
-			return retry, "engine failed"
+		if j.idempotent() {
+			var err error
+			if j.failed, err = keepAnswer(r); err != nil {
+				return d.decide(ctx, j, true, timer), err.Error()
+			}
+			return d.decide(ctx, j, true, timer), "engine failed"
 		}
 		if aw.started {
 			return finished, "engine failed"
