--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -246,12 +246,12 @@
 	}
 	if !j.plain() && d.readSeparately(j) {
 		left := j.startBy - now - d.Estimator.Timing(j.group.Name).FirstEvent
-		if !d.Router.CanPrefill(j.group, j.incoming.Generation, d.expectedWait, left, j.selection()) || !d.charge(j, 2) {
+		if !d.Router.CanPrefill(j.group, j.incoming.Generation, d.expectedWait, left, j.selection()) || !d.takeRetries(j, 2) {
 			return nil
 		}
 		return j
 	}
-	if !d.charge(j, 1) {
+	if !d.takeRetries(j, 1) {
 		return nil
 	}
 	pick := d.Router.PickShort
@@ -308,8 +308,8 @@
 	t.cancel()
 }
 
-// charge takes n retries from the budget for a request, or none. It reports whether it has.
-func (d *Dispatcher) charge(j *job, n int) bool {
+// takeRetries takes n retries from the budget for a request, or none. It reports whether it has.
+func (d *Dispatcher) takeRetries(j *job, n int) bool {
 	for range n {
 		if !d.RetryBudgets.Retry(j.group.Name) {
 			d.settle(j)
--- a/coordination/fleetdispatcher/prefilltimer.go
+++ b/coordination/fleetdispatcher/prefilltimer.go
@@ -45,7 +45,7 @@
 	d, j := t.dispatcher, &t.job
 	d.Router.Silence(t.engine)
 	left := j.startBy - d.Clock.Now() - d.Estimator.Timing(j.group.Name).FirstEvent
-	if j.breaks+1 >= maxBreaks || !d.Router.CanPrefill(j.group, j.incoming.Generation, d.expectedWait, left, j.selection()) || !d.charge(j, 1) {
+	if j.breaks+1 >= maxBreaks || !d.Router.CanPrefill(j.group, j.incoming.Generation, d.expectedWait, left, j.selection()) || !d.takeRetries(j, 1) {
 		t.timer.Reset(successorInterval)
 		return
 	}
