Add a failing test of streams refused by the rate limit when taken up again

Callers whose streams were cut by a loss of power of all entries took them up again and got 429 at once.

The test fails with resumption_test.go:112: seed 0, request 0: {"code":"rate","error":"the team is over its rate","outcome":"not-run"}; got int(429), want int(200)

--- /dev/null
+++ b/coordination/fleetdispatcher/resumption_test.go
@@ -0,0 +1,127 @@
+package fleetdispatcher
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"radishspoke"
+	"radishspoke/coordination/fleetlimiter"
+	"radishspoke/platform"
+	"radishspoke/transport/ticker"
+)
+
+// openKeys takes each secret for a key of one team.
+type openKeys struct{}
+
+func (openKeys) Check(secret string) (radishspoke.Key, error) {
+	return radishspoke.Key{Team: "t", Hash: secret}, nil
+}
+
+func (openKeys) Valid(radishspoke.Key) error { return nil }
+
+// keyedTable is a routing table whose routes require keys.
+type keyedTable struct{ table *radishspoke.RoutingTable }
+
+func (k keyedTable) Configuration() *Configuration {
+	return &Configuration{Table: k.table, Keys: openKeys{}}
+}
+
+// countedUsage counts the requests that began.
+type countedUsage struct {
+	mu    sync.Mutex
+	begun int
+}
+
+func (u *countedUsage) Begun(string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.begun++
+}
+
+// newLimitedDispatcher returns a dispatcher that has just started, with one team that is
+// limited to rate tokens a second.
+func newLimitedDispatcher(n *memoryNetwork, rate float64, seed uint64) *Dispatcher {
+	d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, seed)
+	table := d.Configurations.Configuration().Table
+	table.KeysRequired, table.Rules[0].Open = true, false
+	table.Teams = []radishspoke.TeamRule{{Name: "t", Rate: rate, Burst: rate}}
+	d.Configurations, d.Usage = keyedTable{table}, &countedUsage{}
+	d.RateLimiter = fleetlimiter.New(fleetlimiter.Settings{}, ticker.NewMonotonicClock(), func() []fleetlimiter.Peer { return nil })
+	return d
+}
+
+// streamTokens is the size of the prompt and of the answer of streamRequest.
+const streamTokens = 100
+
+// streamRequest returns a request for a stream. If resumes is not empty, the request takes up
+// the stream that the request with that id began.
+func streamRequest(c *qt.C, id, resumes string) *http.Request {
+	r := httptest.NewRequestWithContext(c.Context(), http.MethodPost, "/", nil)
+	r.Host = "h"
+	in := platform.CallerHeader{
+		ID: id, Secret: "secret", Deadline: 10 * time.Second, Resumes: resumes,
+		Generation: &radishspoke.GenerationInfo{Model: "m", Prompt: shortPrompt, Output: streamTokens - shortPrompt},
+	}
+	if resumes != "" {
+		in.LastEvent = "2"
+	}
+	r.Header = platform.EncodeRequest(in)
+	return r
+}
+
+// TestResumptionsComeBeforeNewStreams guards against LOST of issue 44: after a restart of the
+// entries, the rate of a team went to new streams, and streams that callers took up again were
+// refused with 429, which ends them, although the rate had room for them soon.
+func TestResumptionsComeBeforeNewStreams(t *testing.T) {
+	const seeds, resumed, rate = 10, 8, 1000.0
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			n := &memoryNetwork{targets: map[string]answerFunc{"a:1": goOn, "b:1": goOn}}
+			d := newLimitedDispatcher(n, rate, seed)
+			time.Sleep(resumptionMargin + 10*time.Second) // no other version was listed in the life of a stream
+			d.RateLimiter = fleetlimiter.New(fleetlimiter.Settings{}, ticker.NewMonotonicClock(), func() []fleetlimiter.Peer { return nil })
+			began := time.Now()
+			var callers sync.WaitGroup
+			answered := 0
+			var mu sync.Mutex
+			for i := range 200 {
+				callers.Go(func() {
+					time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+					w := httptest.NewRecorder()
+					d.ServeHTTP(w, streamRequest(c, fmt.Sprintf("new%d", i), ""))
+					if w.Code == http.StatusOK {
+						mu.Lock()
+						defer mu.Unlock()
+						answered++
+					} else {
+						c.Check(w.Code, qt.Equals, http.StatusTooManyRequests)
+					}
+				})
+			}
+			for i := range resumed {
+				callers.Go(func() {
+					time.Sleep(time.Duration(20*i+5) * time.Millisecond)
+					w := httptest.NewRecorder()
+					d.ServeHTTP(w, streamRequest(c, fmt.Sprintf("again%d", i), fmt.Sprintf("before%d", i)))
+					c.Check(w.Code, qt.Equals, http.StatusOK, qt.Commentf("seed %d, request %d: %s", seed, i, w.Body))
+				})
+			}
+			callers.Wait()
+			// The rate is kept: it allows what it brings in that time, the burst and one request.
+			limit := rate*time.Since(began).Seconds() + streamTokens
+			c.Check(float64((answered+resumed)*streamTokens) <= limit, qt.IsTrue, qt.Commentf("%d new streams, limit %v tokens", answered, limit))
+			c.Check(answered > 0, qt.IsTrue)
+			for address := range n.targets {
+				d.Targets.CloseIdle(address)
+			}
+		})
+	}
+}
