Add a failing test of a table that changes while a stream is taken up

A caller that takes a stream up while the configuration changes gets 503 "no target with the software version that began the stream takes it", though such a target serves: the group comes from the newer table, the route from the one that admitted the request, and a group that is gone from the newer one is the zero value.

The test fails with resumption_test.go:162: "no target with the software version that began the stream takes it"; got int(503), want int(200)

--- a/coordination/fleetdispatcher/resumption_test.go
+++ b/coordination/fleetdispatcher/resumption_test.go
@@ -125,3 +125,46 @@
 		})
 	}
 }
+
+// replacedTable is a configuration that is replaced after it has admitted a request.
+type replacedTable struct {
+	mu            sync.Mutex
+	first, second *radishspoke.RoutingTable
+}
+
+func (r *replacedTable) Configuration() *Configuration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.first
+	r.first = r.second
+	return &Configuration{Table: out}
+}
+
+// TestResumptionKeepsItsTable guards against streams that are refused (issue 44), because a
+// request that took one up got its route from the table that admitted it, and the group from a
+// newer one, in which the group had other settings or had gone.
+func TestResumptionKeepsItsTable(t *testing.T) {
+	for name, groups := range map[string]map[string]radishspoke.Group{
+		"gone":               {},
+		"no engine any more": {"g": {Name: "g"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				n := &memoryNetwork{targets: map[string]answerFunc{"a:1": goOn, "prefill:1": prefillPrompt}}
+				d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, 1)
+				time.Sleep(resumptionMargin + 10*time.Second) // no other version was listed in the life of a stream
+				table := d.Configurations.Configuration().Table
+				d.Configurations = &replacedTable{first: table, second: &radishspoke.RoutingTable{Version: 2, Rules: table.Rules, Groups: groups}}
+				w := httptest.NewRecorder()
+				r := streamRequest(c, "again", "before")
+				d.ServeHTTP(w, r)
+				c.Check(w.Code, qt.Equals, http.StatusOK, qt.Commentf("%s; sent to %v", w.Body, n.requests()))
+				c.Check(n.requests(), qt.DeepEquals, []string{"a:1"})
+				for address := range n.targets {
+					d.Targets.CloseIdle(address)
+				}
+			})
+		})
+	}
+}
