Find the group of a stream that is taken up in the table of its request

A caller that took a stream up while the configuration changed got 503 "no target with the software version that began the stream takes it", though such a target served.

findVersion read the configuration again, up to 250 ms after the request was admitted: the route came from the table that had admitted it, the group from the newer one. A group that had gone from there was the zero value, without a name; one without engines any more was served as a plain service.

The job keeps the table that admitted it, so that the route and the group are of one version until its end. Keys are still checked against the newest version before each send.

--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -307,7 +307,7 @@
 	if !ok {
 		return notRunFailure(http.StatusNotFound, "route", "no route leads to this path", 0)
 	}
-	j.rule = rule
+	j.table, j.rule = table, rule
 	j.group = table.Groups[chooseGroup(rule, j.incoming.ID)]
 	limit := j.timeLimit()
 	j.deadline = j.arrived + limit
--- a/coordination/fleetdispatcher/job.go
+++ b/coordination/fleetdispatcher/job.go
@@ -17,6 +17,7 @@
 // process.
 type job struct {
 	incoming platform.CallerHeader
+	table    *radishspoke.RoutingTable // that admitted the request; it does not change until the end
 	rule     radishspoke.PathRule
 	group    radishspoke.Group
 	team     radishspoke.TeamRule
--- a/coordination/fleetdispatcher/resumption.go
+++ b/coordination/fleetdispatcher/resumption.go
@@ -75,7 +75,7 @@
 	}
 	for _, c := range j.rule.Choices {
 		if c.Group == v.Group {
-			j.group, j.software = d.Configurations.Configuration().Table.Groups[v.Group], v.Software
+			j.group, j.software = j.table.Groups[v.Group], v.Software
 			return nil
 		}
 	}
