Let streams that are taken up again wait for the rate, before new ones

Callers whose streams were cut when all entries lost power took them up again and got 429 at once, and did not come back: the buckets of all teams are empty after such a restart, and what they fill with went to new requests, which may begin later, and to small ones, for which the last part of a bucket is kept.

A request that takes a stream up now waits for the rate of its team, as long as the stream can still go on in time. At each entry such requests are admitted in order and before all new ones, and may use the whole bucket. The charges are made when a request is admitted, as before, so that the limit holds as before. If what waits already leaves no room in time, the request is refused at once.

--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -56,6 +56,10 @@
 	// false and the time after which to retry.
 	Admit(t radishspoke.TeamRule, tokens float64) (retryAfter time.Duration, ok bool)
 
+	// Wait is like Admit for a request that its caller cannot make later. It waits for
+	// at most the given time until the team is below its rate.
+	Wait(ctx context.Context, t radishspoke.TeamRule, tokens float64, limit time.Duration) (retryAfter time.Duration, ok bool)
+
 	// Refund reverses the charge for a request that did not run.
 	Refund(t radishspoke.TeamRule, tokens float64)
 }
@@ -245,9 +249,12 @@
 	ctx, cancel := context.WithTimeout(r.Context(), j.deadline-d.Clock.Now())
 	defer cancel()
 	aw := &answerWriter{w: w, begin: func() { d.beginStream(j) }}
-	fail := d.serve(ctx, j, aw)
-	if fail != nil && !j.mayHaveRun && j.team.Name != "" {
-		d.RateLimiter.Refund(j.team, j.chargedTokens())
+	fail := d.charge(ctx, j)
+	if fail == nil {
+		fail = d.serve(ctx, j, aw)
+		if fail != nil && !j.mayHaveRun && j.team.Name != "" {
+			d.RateLimiter.Refund(j.team, j.chargedTokens())
+		}
 	}
 	interrupted := errors.Is(context.Cause(r.Context()), ErrInterrupted)
 	switch {
@@ -328,10 +335,24 @@
 	if rule.Kind == radishspoke.Streaming {
 		j.startBy = min(j.deadline, j.arrived+patience(rule))
 	}
+	return nil
+}
+
+// charge charges the tokens of a request to its team. A request that resumes a stream waits
+// for the rate as long as the stream can go on in time: a caller that is refused has lost the
+// stream, whereas a new one may begin later.
+func (d *Dispatcher) charge(ctx context.Context, j *job) *radishspoke.Failure {
 	if j.team.Name == "" {
 		return nil
 	}
-	if after, ok := d.RateLimiter.Admit(j.team, j.chargedTokens()); !ok {
+	after, ok := time.Duration(0), false
+	if j.resumesStream() {
+		left := j.startBy - d.Clock.Now() - d.restartTime(j) - transitTime
+		after, ok = d.RateLimiter.Wait(ctx, j.team, j.chargedTokens(), left)
+	} else {
+		after, ok = d.RateLimiter.Admit(j.team, j.chargedTokens())
+	}
+	if !ok {
 		return notRunFailure(http.StatusTooManyRequests, "rate", "the team is over its rate", after)
 	}
 	return nil
--- a/coordination/fleetlimiter/fleetlimiter.go
+++ b/coordination/fleetlimiter/fleetlimiter.go
@@ -1,11 +1,14 @@
 package fleetlimiter
 
 import (
+	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"radishspoke"
+	"radishspoke/transport/ticker"
 )
 
 // Peer is another entry that may charge the same teams. Silent is set if no
@@ -64,6 +67,9 @@
 
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
+
+	// waitInterval is the time between two tries to admit a request that waits.
+	waitInterval = 20 * time.Millisecond
 )
 
 func (s *Settings) setDefaults() {
@@ -83,10 +89,15 @@
 	level       float64              // negative if more was charged than the bucket held
 	at          time.Duration        // time at which level was computed
 	allowance   float64              // amount that may be charged until the next exchange
+	share       float64              // share of this entry in the rate
 	charged     float64              // by this entry since its start
 	demand      float64              // recent demand at this entry
+	queue       []*waiter            // requests that wait at this entry, in order
 }
 
+// waiter is a request that waits.
+type waiter struct{ tokens float64 }
+
 // peerState holds the reports of one peer, from one lifetime of its process, by
 // team.
 type peerState struct {
@@ -132,7 +143,8 @@
 // and the time after which capacity may be available. A request is admitted if
 // there is any capacity at all, so that a request larger than the burst is not
 // refused forever. Requests that are not small leave the last part of the burst
-// to small ones. A team whose rate is 0 is not limited.
+// to small ones, and all leave it to those that wait. A team whose rate is 0 is not
+// limited.
 func (l *Limiter) Admit(t radishspoke.TeamRule, tokens float64) (time.Duration, bool) {
 	if t.Rate <= 0 {
 		return 0, true
@@ -146,15 +158,74 @@
 	if tokens > smallRequest*a.burst {
 		left -= reservedShare * a.burst
 	}
-	if left <= 0 || a.allowance <= 0 {
-		wait := time.Duration(max(0, -left) / a.rate * float64(time.Second))
-		return min(maxRetryAfter, max(minRetryAfter, wait)), false
+	if left <= 0 || a.allowance <= 0 || len(a.queue) > 0 {
+		return a.retryAfter(left), false
+	}
+	a.charge(tokens)
+	return 0, true
+}
+
+// Wait is like Admit for a request that its caller cannot make later. If the team is
+// at its limit, it waits for at most the given time, and not at all if the rate leaves
+// no room for the request in that time. It goes before all requests of Admit, and may
+// use all of the burst.
+func (l *Limiter) Wait(ctx context.Context, t radishspoke.TeamRule, tokens float64, limit time.Duration) (time.Duration, bool) {
+	if t.Rate <= 0 {
+		return 0, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance()
+	a := l.account(t)
+	a.demand += tokens
+	end := l.clock.Now() + max(0, limit)
+	if l.clock.Now()+l.expectedWait(a) > end {
+		return a.retryAfter(l.available(a)), false
 	}
+	w := &waiter{tokens}
+	a.queue = append(a.queue, w)
+	defer func() { a.queue = slices.DeleteFunc(a.queue, func(o *waiter) bool { return o == w }) }()
+	for a.queue[0] != w || l.available(a) <= 0 || a.allowance <= 0 {
+		if l.clock.Now()+waitInterval > end || !l.sleep(ctx) {
+			return a.retryAfter(l.available(a)), false
+		}
+		l.advance()
+	}
+	a.charge(tokens)
+	return 0, true
+}
+
+// sleep waits for waitInterval, with the lock released. It returns false if ctx has ended.
+func (l *Limiter) sleep(ctx context.Context) bool {
+	l.mu.Unlock()
+	defer l.mu.Lock()
+	return ticker.Sleep(ctx, waitInterval)
+}
+
+// expectedWait returns the time after which a request is expected to be admitted behind
+// those that wait at this entry.
+func (l *Limiter) expectedWait(a *account) time.Duration {
+	ahead := 0.0
+	for _, w := range a.queue {
+		ahead += w.tokens
+	}
+	missing := max((ahead-l.available(a))/a.rate, (ahead-a.allowance)/(a.rate*a.share), 0)
+	return time.Duration(missing * float64(time.Second))
+}
+
+// charge subtracts tokens from the bucket.
+func (a *account) charge(tokens float64) {
 	a.level -= tokens
 	a.recent.add(tokens)
 	a.allowance -= tokens
 	a.charged += tokens
-	return 0, true
+}
+
+// retryAfter returns the time in which the rate brings what is missing, if left is the
+// number of tokens that are left.
+func (a *account) retryAfter(left float64) time.Duration {
+	wait := time.Duration(max(0, -left) / a.rate * float64(time.Second))
+	return min(maxRetryAfter, max(minRetryAfter, wait))
 }
 
 // available returns the number of tokens that all entries together may charge to a
@@ -247,7 +318,7 @@
 // the next exchange.
 func (l *Limiter) setAllowance(team string, a *account) {
 	if l.entries == 1 {
-		a.allowance = a.burst
+		a.allowance, a.share = a.burst, 1
 		return
 	}
 	// Peers that have sent no report are assumed to have the mean demand of those
@@ -266,6 +337,7 @@
 	// is kept for one more interval. What the last request took beyond the
 	// allowance is subtracted from the next one: a request may be larger than the
 	// share of an entry.
+	a.share = share
 	amount := (l.available(a)/2 + a.rate*l.settings.Interval.Seconds()) * share
 	a.allowance = min(a.allowance+amount, 2*amount)
 }
--- /dev/null
+++ b/coordination/fleetlimiter/wait_test.go
@@ -0,0 +1,63 @@
+package fleetlimiter_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"radishspoke"
+	"radishspoke/coordination/fleetlimiter"
+	"radishspoke/transport/ticker"
+)
+
+// TestWait guards against requests that wait for the rate of a team and get none of it,
+// because others come first, or get more than it brings (issue 44).
+func TestWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		limited := radishspoke.TeamRule{Name: "t", Rate: 1000, Burst: 1000}
+		l := fleetlimiter.New(fleetlimiter.Settings{}, ticker.NewMonotonicClock(), func() []fleetlimiter.Peer { return nil })
+		began := time.Now()
+		var wait sync.WaitGroup
+		done := make([]time.Duration, 5)
+		for i := range done {
+			wait.Go(func() {
+				_, ok := l.Wait(t.Context(), limited, 200, 2*time.Second)
+				c.Check(ok, qt.IsTrue)
+				done[i] = time.Since(began)
+			})
+		}
+		synctest.Wait()
+		after, ok := l.Wait(t.Context(), limited, 200, 500*time.Millisecond)
+		c.Check(ok, qt.IsFalse, qt.Commentf("the rate has no room for it"))
+		c.Check(after > 0, qt.IsTrue)
+		c.Check(time.Since(began), qt.Equals, time.Duration(0))
+		wait.Go(func() {
+			for time.Since(began) < 750*time.Millisecond {
+				_, ok := l.Admit(limited, 1)
+				c.Check(ok, qt.IsFalse, qt.Commentf("after %v, while others wait", time.Since(began)))
+				time.Sleep(time.Millisecond)
+			}
+		})
+		wait.Wait()
+		var last time.Duration
+		for _, d := range done {
+			last = max(last, d)
+		}
+		c.Check(last >= 800*time.Millisecond && last < time.Second, qt.IsTrue, qt.Commentf("%v", done))
+
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		_, ok = l.Wait(ctx, limited, 200, 2*time.Second)
+		c.Check(ok, qt.IsFalse, qt.Commentf("its context has ended"))
+		time.Sleep(time.Second)
+		_, ok = l.Admit(limited, 200)
+		c.Check(ok, qt.IsTrue, qt.Commentf("nobody waits any more"))
+		_, ok = l.Wait(t.Context(), limited, 200, -time.Second)
+		c.Check(ok, qt.IsTrue, qt.Commentf("there is room at once"))
+	})
+}
