Correct the accounts of attempts beside a silent one

- A request counted twice in the usage of its team.
- Two silent targets: a third one is asked if attempts are left, as before the change.
- A target that breaks off while another one is asked was taken for a silent one, so that crashes went unnoticed; engines that break prefills off beside a silent attempt did not count.
- A sidecar that accepts no orders was asked again instead of its engine; a target that was silent stayed excluded; retries taken in advance were returned twice.
- An earlier failure of a target was dropped when a later one was not whole, and a long one was replaced by 502.
- The time before the header of an engine that prefills a long prompt itself includes that prefill.

--- a/coordination/fleetdispatcher/answer.go
+++ b/coordination/fleetdispatcher/answer.go
@@ -93,17 +93,21 @@
 	body   []byte
 }
 
-// keepAnswer reads an answer. It returns an error if the answer is not whole, or is longer than
-// maxBuffered.
+// errLongAnswer is returned for an answer that is longer than maxBuffered.
+var errLongAnswer = errors.New("answer is too long to be kept")
+
+// keepAnswer reads an answer. The error is errLongAnswer if only the begin of it was read, or
+// another one if the answer is not whole.
 func keepAnswer(r *reply) (*keptAnswer, error) {
 	body, err := io.ReadAll(io.LimitReader(r, maxBuffered+1))
 	if err != nil {
 		return nil, fmt.Errorf("read failure of the target: %w", err)
 	}
+	k := &keptAnswer{status: r.Status, header: r.Header, body: body}
 	if len(body) > maxBuffered {
-		return nil, errors.New("failure of the target is too long")
+		return k, errLongAnswer
 	}
-	return &keptAnswer{status: r.Status, header: r.Header, body: body}, nil
+	return k, nil
 }
 
 // writeKept sends a kept answer.
--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -79,7 +79,9 @@
 	asked       bool          // a target was asked for the answer, not only for a prefill
 	search      *search       // nil if no other target is being asked
 	runs        int           // number of other targets that may have run the request
+	breaks      int           // number of engines that have broken prefills for them off
 	replacement *replacement  // nil until another target has begun to answer
+	givenUp     bool          // the attempt was ended because its target was silent
 }
 
 // search is one try to have another target answer.
@@ -87,15 +89,18 @@
 	cancel context.CancelFunc
 	done   chan struct{} // closed after the search has ended
 	sent   bool          // a target was asked for the answer
+	target string        // its id
+	sentAt time.Duration
 }
 
-// startAttempt returns the context and the timer of one attempt of a request.
-func (d *Dispatcher) startAttempt(ctx context.Context, j *job) (context.Context, *attemptTimer) {
-	t := &attemptTimer{dispatcher: d, ctx: ctx, limit: headTimeout(j.rule), since: d.Clock.Now()}
+// startAttempt returns the context and the timer of one attempt of a request. The target is
+// expected to prefill the prompt itself in the given time, which is 0 if it does not.
+func (d *Dispatcher) startAttempt(ctx context.Context, j *job, prefill time.Duration) (context.Context, *attemptTimer) {
+	t := &attemptTimer{dispatcher: d, ctx: ctx, limit: headTimeout(j.rule) + prefill, since: d.Clock.Now()}
 	ctx, t.cancel = context.WithCancel(ctx)
 	if j.idempotent() && !j.trial && j.attempts+1 < j.rule.Attempts && t.since+2*t.limit < j.deadline {
 		t.job = *j
-		t.job.excluded = maps.Clone(j.excluded)
+		t.job.excluded, t.job.credits = maps.Clone(j.excluded), 0
 		t.mu.Lock()
 		t.timer = time.AfterFunc(t.limit, t.check)
 		t.mu.Unlock()
@@ -160,6 +165,7 @@
 	t.search.cancel()
 	if t.search.sent {
 		t.runs++
+		t.job.excluded[t.search.target] = true
 	}
 	t.search = nil
 }
@@ -169,17 +175,23 @@
 func (t *attemptTimer) check() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.timer == nil || t.held || t.search != nil || t.replacement != nil {
+	if t.timer == nil || t.held || t.replacement != nil {
 		return
 	}
-	silent := t.dispatcher.Clock.Now() - t.since
-	if silent < t.limit {
+	now := t.dispatcher.Clock.Now()
+	if silent := now - t.since; silent < t.limit {
 		t.timer.Reset(t.limit - silent)
 		return
 	}
+	t.timer.Reset(successorInterval)
+	if s := t.search; s != nil {
+		if !s.sent || now-s.sentAt < headTimeout(t.job.rule) || t.job.attempts+t.runs+2 >= t.job.rule.Attempts {
+			return
+		}
+		t.abandon() // the other target is silent too
+	}
 	next := t.nextAttempt()
 	if next == nil {
-		t.timer.Reset(successorInterval)
 		return
 	}
 	ctx, cancel := context.WithCancel(t.ctx)
@@ -191,14 +203,16 @@
 // attempt is still silent, ends the attempt.
 func (t *attemptTimer) replace(ctx context.Context, s *search, next *job) {
 	defer close(s.done)
-	attempts := next.attempts
-	r := t.dispatcher.beginElsewhere(ctx, next, func() {
+	attempts, breaks := next.attempts, next.breaks
+	r := t.dispatcher.beginElsewhere(ctx, next, func(target string) bool {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		s.sent = true
+		s.sent, s.target, s.sentAt = t.search == s, target, t.dispatcher.Clock.Now()
+		return s.sent
 	})
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.breaks += next.breaks - breaks
 	switch {
 	case t.search != s: // there has been progress since, or the attempt has ended
 		s.cancel()
@@ -209,13 +223,14 @@
 		s.cancel()
 		t.search = nil
 		t.runs += next.attempts - attempts
-		t.job.excluded = next.excluded
-		if t.timer != nil {
-			t.timer.Reset(successorInterval)
-		}
+		t.job.excluded, t.job.noRelay, t.job.breaks = next.excluded, next.noRelay, next.breaks
 	default:
 		r.cancel = s.cancel
 		t.search, t.replacement = nil, r
+		if t.held {
+			return // the attempt has failed
+		}
+		t.givenUp = true
 		t.dispatcher.Recorder.ObserveGiveUp()
 		t.dispatcher.Log.Warn("silent attempt given up", "id", t.job.incoming.ID, "target", t.job.current.ID, "after", t.dispatcher.Clock.Now()-t.since, "successor", next.current.ID)
 		t.cancel()
@@ -291,12 +306,19 @@
 	if t.timer != nil {
 		t.timer.Stop()
 		t.timer = nil
-		j.attempts += t.runs
+		j.attempts, j.breaks = j.attempts+t.runs, j.breaks+t.breaks
+		if t.runs > 0 {
+			j.mayHaveRun = true
+			if j.plain() {
+				t.dispatcher.countBegun(j)
+			}
+		}
 		if t.replacement != nil {
 			j.adopt(t.replacement)
+			delete(j.excluded, t.job.current.ID)
 		}
 	}
-	return t.replacement != nil
+	return t.givenUp
 }
 
 // end ends the attempt.
--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -17,7 +17,7 @@
 // value, the decode engine prefills it. Turns are those of package sequencer.
 type prefillPlan struct {
 	relay     *radishspoke.Instance // prefill engine whose sidecar relays the request; nil if it is not relayed
-	placement fleetrouter.Placement // of the prefill at that engine
+	placement fleetrouter.Placement // of the prefill at that engine, or at the decode engine
 	handle    *radishspoke.Handle   // of the KV cache, if another engine has prefilled the prompt
 	prefillID string                // id of the prefill engine; empty if the decode engine prefills the prompt
 	zone      string                // availability zone of the prefill engine
@@ -43,6 +43,15 @@
 	return t.PrefillToken*float64(j.incoming.Generation.Prompt) >= t.TransferSetup.Seconds()
 }
 
+// ownPrefill returns the expected time in which the decode engine prefills a long prompt
+// itself, or 0.
+func (p prefillPlan) ownPrefill() time.Duration {
+	if p.relay != nil {
+		return 0
+	}
+	return p.placement.Prefill
+}
+
 // end ends the turn at the decode engine, if there is one.
 func (p prefillPlan) end(took time.Duration) {
 	if p.endTurn != nil {
@@ -99,7 +108,7 @@
 	if p.decoder == nil {
 		t, err := d.pickDecode(j, p)
 		if err != nil {
-			relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
+			d.drop(p)
 			if j.software != "" {
 				return prefillPlan{}, d.noVersion(j)
 			}
@@ -111,13 +120,23 @@
 		fail = d.checkQuarantine(j)
 	}
 	if fail != nil {
-		relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
-		p.end(0)
+		d.drop(p)
 		return prefillPlan{}, fail
 	}
 	return p, nil
 }
 
+// drop releases what is reserved for an attempt that is not made.
+func (d *Dispatcher) drop(p prefillPlan) {
+	for _, t := range []*radishspoke.Instance{p.relay, p.decoder} {
+		if t != nil {
+			d.Router.Unpick(t.ID)
+		}
+	}
+	relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
+	p.end(0)
+}
+
 // pickDecode chooses the engine that generates the answer.
 func (d *Dispatcher) pickDecode(j *job, p prefillPlan) (radishspoke.Instance, error) {
 	if p.prefillID == "" {
@@ -209,7 +228,7 @@
 			continue
 		}
 		if t.Role != radishspoke.PrefillRole {
-			return prefillPlan{decoder: &t, endTurn: endTurn}, nil
+			return prefillPlan{decoder: &t, placement: p, endTurn: endTurn}, nil
 		}
 		start := d.Clock.Now()
 		h, reason, err := d.prefill(ctx, j, p)
--- a/coordination/fleetdispatcher/replacement.go
+++ b/coordination/fleetdispatcher/replacement.go
@@ -29,7 +29,7 @@
 	j.replacement = r
 	maps.Copy(j.excluded, r.job.excluded)
 	j.visited += r.job.visited[r.shared:]
-	j.breaks, j.trial, j.noRelay = r.job.breaks, r.job.trial, r.job.noRelay
+	j.trial, j.noRelay = r.job.trial, r.job.noRelay
 	j.queueTime, j.prefill = r.job.queueTime, r.job.prefill
 }
 
@@ -45,9 +45,10 @@
 
 // beginElsewhere has another target answer a request, while the last one is silent. It returns
 // as soon as the target has sent the header of a successful answer, or nil if none does. The
-// function sent is called before the request is sent for the answer. All retries that j holds
-// and that are not used go back to the budget.
-func (d *Dispatcher) beginElsewhere(ctx context.Context, j *job, sent func()) *replacement {
+// function mayAsk is called with the id of a target before that is asked for the answer; it
+// returns false if the answer is not needed any more. All retries that j holds and that are not
+// used go back to the budget.
+func (d *Dispatcher) beginElsewhere(ctx context.Context, j *job, mayAsk func(target string) bool) *replacement {
 	defer d.settle(j)
 	shared := len(j.visited)
 	p, ok := d.planElsewhere(ctx, j)
@@ -55,10 +56,13 @@
 		return nil
 	}
 	t := *p.decoder
+	if !mayAsk(t.ID) {
+		d.drop(p)
+		return nil
+	}
 	j.current = t
 	j.visit(t)
 	d.Router.Begin(t.ID)
-	sent()
 	out := &replacement{job: j, shared: shared, plan: p, sent: d.Clock.Now()}
 	var err error
 	if j.plain() {
@@ -117,15 +121,13 @@
 	if p.decoder == nil {
 		t, err := d.pickDecode(j, p)
 		if err != nil {
-			relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
+			d.drop(p)
 			return prefillPlan{}, false
 		}
 		p.decoder = &t
 	}
 	if d.checkKey(j) != nil || d.checkQuarantine(j) != nil {
-		d.Router.Unpick(p.decoder.ID)
-		relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
-		p.end(0)
+		d.drop(p)
 		return prefillPlan{}, false
 	}
 	return p, true
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -1,7 +1,9 @@
 package fleetdispatcher
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -137,14 +139,18 @@
 		j.visit(t)
 		d.Router.Begin(t.ID)
 	}
-	attemptCtx, timer := d.startAttempt(ctx, j)
+	attemptCtx, timer := d.startAttempt(ctx, j, 0)
 	defer timer.end(j)
 	if begun == nil {
 		timer.ask()
 		sent := d.Clock.Now()
 		r, err := d.send(attemptCtx, j, t, platform.TargetHeader{})
 		if err != nil {
-			return d.decide(ctx, j, d.plainNotAnswered(attemptCtx, j, t, sent, err, timer), timer), err.Error()
+			mayHaveRun := d.plainNotAnswered(attemptCtx, j, t, sent, err, timer)
+			if mayHaveRun {
+				d.countBegun(j)
+			}
+			return d.decide(ctx, j, mayHaveRun, timer), err.Error()
 		}
 		begun = &replacement{reply: r, sent: sent}
 	} else {
@@ -165,20 +171,26 @@
 	if !r.Stamped {
 		return d.decide(ctx, j, true, timer), "answer does not come from a target"
 	}
+	var body io.Reader = r
 	if r.Status >= http.StatusInternalServerError && j.rule.Kind == radishspoke.Safe {
-		var err error
-		if j.failed, err = keepAnswer(r); err != nil {
+		kept, err := keepAnswer(r)
+		switch {
+		case errors.Is(err, errLongAnswer):
+			body = io.MultiReader(bytes.NewReader(kept.body), r)
+		case err != nil:
 			return d.decide(ctx, j, true, timer), err.Error()
+		default:
+			j.failed = kept
+			d.Quarantine.Completed(j.subject())
+			return d.decide(ctx, j, true, timer), "target failed"
 		}
-		d.Quarantine.Completed(j.subject())
-		return d.decide(ctx, j, true, timer), "target failed"
 	}
 	if !timer.hold() {
 		report.Silent = true
 		return d.decide(ctx, j, true, timer), errSilent.Error()
 	}
 	d.recordResumption(j)
-	if err := aw.copyAnswer(r.Status, r.Header, r); err != nil {
+	if err := aw.copyAnswer(r.Status, r.Header, body); err != nil {
 		if attemptCtx.Err() == nil {
 			d.handleBreak(j, t, sent, err)
 		}
@@ -201,7 +213,6 @@
 		return false
 	}
 	j.markRun()
-	d.countBegun(j)
 	d.Targets.CloseIdle(t.Address)
 	if ctx.Err() == nil {
 		d.handleBreak(j, t, sent, err)
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -30,7 +30,7 @@
 		j.visit(t)
 		d.Router.Begin(t.ID)
 	}
-	attemptCtx, timer := d.startAttempt(ctx, j)
+	attemptCtx, timer := d.startAttempt(ctx, j, plan.ownPrefill())
 	defer timer.end(j)
 	if begun == nil {
 		sent := d.Clock.Now()
@@ -72,17 +72,26 @@
 		return d.decide(ctx, j, true, timer), "answer does not come from a target"
 	}
 	if r.Status != http.StatusOK {
+		var body io.Reader = r
 		if j.idempotent() {
-			var err error
-			if j.failed, err = keepAnswer(r); err != nil {
+			kept, err := keepAnswer(r)
+			switch {
+			case errors.Is(err, errLongAnswer):
+				body = io.MultiReader(bytes.NewReader(kept.body), r)
+			case err != nil:
 				return d.decide(ctx, j, true, timer), err.Error()
+			default:
+				j.failed = kept
+				return d.decide(ctx, j, true, timer), "engine failed"
 			}
-			return d.decide(ctx, j, true, timer), "engine failed"
+		}
+		if !timer.hold() {
+			return d.decide(ctx, j, true, timer), errSilent.Error()
 		}
 		if aw.started {
 			return finished, "engine failed"
 		}
-		if err := aw.copyAnswer(r.Status, r.Header, r); err != nil {
+		if err := aw.copyAnswer(r.Status, r.Header, body); err != nil {
 			return finished, err.Error()
 		}
 		return finished, ""
--- a/coordination/fleetdispatcher/stream_test.go
+++ b/coordination/fleetdispatcher/stream_test.go
@@ -58,7 +58,7 @@
 	j.incoming.ID, j.method, j.target, j.host = "r1", http.MethodPost, "/", "h"
 	j.header = platform.EncodeRequest(platform.CallerHeader{ID: j.incoming.ID})
 	j.rule = radishspoke.PathRule{Kind: radishspoke.Streaming, Resumable: true, Attempts: 2, Objective: 100 * time.Millisecond}
-	ctx, timer := d.startAttempt(c.Context(), j)
+	ctx, timer := d.startAttempt(c.Context(), j, 0)
 	r, err := d.Targets.Do(ctx, "target:1", &httpclient.Call{Method: http.MethodPost, RequestURI: "/", Host: "h", Header: http.Header{}})
 	c.Assert(err, qt.IsNil)
 	w := httptest.NewRecorder()
