--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -91,12 +91,13 @@
 	sent   bool          // a target was asked for the answer
 	target string        // its id
 	sentAt time.Duration
+	limit  time.Duration // maximum time until the target begins to answer
 }
 
-// startAttempt returns the context and the timer of one attempt of a request. The target is
-// expected to prefill the prompt itself in the given time, which is 0 if it does not.
-func (d *Dispatcher) startAttempt(ctx context.Context, j *job, prefill time.Duration) (context.Context, *attemptTimer) {
-	t := &attemptTimer{dispatcher: d, ctx: ctx, limit: headTimeout(j.rule) + prefill, since: d.Clock.Now()}
+// startAttempt returns the context and the timer of one attempt of a request. The delay is the
+// expected time until the target can begin to answer.
+func (d *Dispatcher) startAttempt(ctx context.Context, j *job, delay time.Duration) (context.Context, *attemptTimer) {
+	t := &attemptTimer{dispatcher: d, ctx: ctx, limit: headTimeout(j.rule) + delay, since: d.Clock.Now()}
 	ctx, t.cancel = context.WithCancel(ctx)
 	if j.idempotent() && !j.trial && j.attempts+1 < j.rule.Attempts && t.since+2*t.limit < j.deadline {
 		t.job = *j
@@ -184,16 +185,14 @@
 		return
 	}
 	t.timer.Reset(successorInterval)
-	if s := t.search; s != nil {
-		if !s.sent || now-s.sentAt < headTimeout(t.job.rule) || t.job.attempts+t.runs+2 >= t.job.rule.Attempts {
-			return
-		}
-		t.abandon() // the other target is silent too
+	if s := t.search; s != nil && (!s.sent || now-s.sentAt < s.limit) {
+		return
 	}
 	next := t.nextAttempt()
 	if next == nil {
 		return
 	}
+	t.abandon() // a target that was asked before is silent too
 	ctx, cancel := context.WithCancel(t.ctx)
 	t.search = &search{cancel: cancel, done: make(chan struct{})}
 	go t.replace(ctx, t.search, next)
@@ -204,10 +203,11 @@
 func (t *attemptTimer) replace(ctx context.Context, s *search, next *job) {
 	defer close(s.done)
 	attempts, breaks := next.attempts, next.breaks
-	r := t.dispatcher.beginElsewhere(ctx, next, func(target string) bool {
+	r := t.dispatcher.beginElsewhere(ctx, next, func(p prefillPlan) bool {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		s.sent, s.target, s.sentAt = t.search == s, target, t.dispatcher.Clock.Now()
+		s.sent, s.target, s.sentAt = t.search == s, p.decoder.ID, t.dispatcher.Clock.Now()
+		s.limit = headTimeout(t.job.rule) + p.headDelay()
 		return s.sent
 	})
 	t.mu.Lock()
@@ -245,8 +245,13 @@
 	j := &next
 	j.excluded = maps.Clone(j.excluded)
 	j.requested = true
+	asked := t.runs
+	if t.search != nil {
+		j.excluded[t.search.target] = true
+		asked++
+	}
 	restart := d.restartTime(j)
-	if !j.idempotent() || j.attempts+t.runs+1 >= j.rule.Attempts || now+restart >= j.startBy {
+	if !j.idempotent() || j.attempts+asked+1 >= j.rule.Attempts || now+restart >= j.startBy {
 		return nil
 	}
 	if _, _, refused := d.Quarantine.Refuses(j.subject()); refused || d.checkKey(j) != nil {
--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -43,11 +43,11 @@
 	return t.PrefillToken*float64(j.incoming.Generation.Prompt) >= t.TransferSetup.Seconds()
 }
 
-// ownPrefill returns the expected time in which the decode engine prefills a long prompt
-// itself, or 0.
-func (p prefillPlan) ownPrefill() time.Duration {
+// headDelay returns the expected time until the decode engine can begin to answer: that of the
+// prefill if it comes after the send, at that engine or at a sidecar.
+func (p prefillPlan) headDelay() time.Duration {
 	if p.relay != nil {
-		return 0
+		return p.placement.Wait + p.placement.Prefill
 	}
 	return p.placement.Prefill
 }
--- a/coordination/fleetdispatcher/replacement.go
+++ b/coordination/fleetdispatcher/replacement.go
@@ -45,10 +45,10 @@
 
 // beginElsewhere has another target answer a request, while the last one is silent. It returns
 // as soon as the target has sent the header of a successful answer, or nil if none does. The
-// function mayAsk is called with the id of a target before that is asked for the answer; it
-// returns false if the answer is not needed any more. All retries that j holds and that are not
+// function mayAsk is called before a target is asked for the answer; it returns false if the
+// answer is not needed any more. All retries that j holds and that are not
 // used go back to the budget.
-func (d *Dispatcher) beginElsewhere(ctx context.Context, j *job, mayAsk func(target string) bool) *replacement {
+func (d *Dispatcher) beginElsewhere(ctx context.Context, j *job, mayAsk func(p prefillPlan) bool) *replacement {
 	defer d.settle(j)
 	shared := len(j.visited)
 	p, ok := d.planElsewhere(ctx, j)
@@ -56,7 +56,7 @@
 		return nil
 	}
 	t := *p.decoder
-	if !mayAsk(t.ID) {
+	if !mayAsk(p) {
 		d.drop(p)
 		return nil
 	}
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -30,7 +30,11 @@
 		j.visit(t)
 		d.Router.Begin(t.ID)
 	}
-	attemptCtx, timer := d.startAttempt(ctx, j, plan.ownPrefill())
+	delay := plan.headDelay()
+	if plan.relay != nil {
+		delay = 0 // the sidecar reports its progress
+	}
+	attemptCtx, timer := d.startAttempt(ctx, j, delay)
 	defer timer.end(j)
 	if begun == nil {
 		sent := d.Clock.Now()
