Don't say that a request has not run after another target was asked in vain

What callers saw: 503 with the outcome not-run, and the charge for their rate returned, although a target had run their request: it had been asked in place of a silent one, and had broken the request off; the silent one then refused.

Cause: the search for another target works on a copy of the request. Of what it found out, only the number of attempts came back.

A request may have run as soon as a search has sent it, unless the target refused.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -291,7 +291,10 @@
 	if t.timer != nil {
 		t.timer.Stop()
 		t.timer = nil
-		j.attempts += t.runs
+		if t.runs > 0 {
+			j.attempts += t.runs
+			j.mayHaveRun = true
+		}
 		if t.replacement != nil {
 			j.adopt(t.replacement)
 		}
--- a/coordination/fleetdispatcher/replacement.go
+++ b/coordination/fleetdispatcher/replacement.go
@@ -26,7 +26,7 @@
 
 // adopt makes a request go on with a replacement.
 func (j *job) adopt(r *replacement) {
-	j.replacement = r
+	j.replacement, j.mayHaveRun = r, true
 	maps.Copy(j.excluded, r.job.excluded)
 	j.visited += r.job.visited[r.shared:]
 	j.breaks, j.trial, j.noRelay = r.job.breaks, r.job.trial, r.job.noRelay
