Count a request once at its team, however many targets are asked at a time

What callers saw: the usage of a team had a plain request twice if its target was silent for twice the objective, another one was asked, and either that one broke off or the first one went on.

Cause: the search for another target counted the request on its own copy, and the attempt again.

Only the attempt counts it, or its end if a search alone has sent it. TestUsageIsCountedOnce fails without the change (the other target is silent; sent to [b:1 a:1]: 2 for 1) and passes with it.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -229,7 +229,7 @@
 	d, next, now := t.dispatcher, t.job, t.dispatcher.Clock.Now()
 	j := &next
 	j.excluded = maps.Clone(j.excluded)
-	j.requested = true
+	j.requested, j.counted = true, true // the attempt counts the request
 	restart := d.restartTime(j)
 	if !j.idempotent() || j.attempts+t.runs+1 >= j.rule.Attempts || now+restart >= j.startBy {
 		return nil
@@ -294,6 +294,9 @@
 		if t.runs > 0 {
 			j.attempts += t.runs
 			j.mayHaveRun = true
+			if j.plain() {
+				t.dispatcher.countBegun(j)
+			}
 		}
 		if t.replacement != nil {
 			j.adopt(t.replacement)
--- a/coordination/fleetdispatcher/replacement_test.go
+++ b/coordination/fleetdispatcher/replacement_test.go
@@ -58,3 +58,24 @@
 		}
 	}
 }
+
+// TestUsageIsCountedOnce guards against a request that is counted as begun at each of two
+// targets.
+func TestUsageIsCountedOnce(t *testing.T) {
+	for name, other := range map[string]answerFunc{"is silent": pauseBeforeHead, "breaks off": breakOff, "answers": goOn} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range uint64(10) {
+				n := &memoryNetwork{targets: map[string]answerFunc{"a:1": pauseBeforeHead, "b:1": other}}
+				d := newSilenceDispatcher(n, "", 9, seed)
+				table := newChangingTable(d.Configurations.Configuration().Table)
+				secret := table.requireKeys(radishspoke.TeamRule{Name: "t"})
+				usage := &countedUsage{}
+				d.Configurations, d.KeyTrust, d.RateLimiter, d.Usage = table, alwaysTrusted{d.Clock}, noLimits{}, usage
+				_, aborted := serveRequest(d, n, newKeyRequest(c, secret, shortPrompt))
+				c.Check(aborted, qt.IsFalse)
+				c.Assert(usage.begun, qt.Equals, 1, qt.Commentf("the other target %s; sent to %v", name, n.requests()))
+			}
+		})
+	}
+}
