Ask a third target if the second one is silent as well

What callers saw: with a route of three attempts, a request waited until its deadline, or its stream was cut, although a third target answered: the first two were silent at once.

Cause: the target that is asked in place of a silent one was not supervised.

The same timer watches the search. If its target has not begun to answer within the usual time, and a further target is expected to, the search goes on there. Attempts and retries bound it as before.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -86,7 +86,8 @@
 type search struct {
 	cancel context.CancelFunc
 	done   chan struct{} // closed after the search has ended
-	sent   bool          // a target was asked for the answer
+	target string        // id of the target that was asked for the answer; empty before
+	until  time.Duration // time at which that target counts as silent
 }
 
 // startAttempt returns the context and the timer of one attempt of a request.
@@ -158,23 +159,30 @@
 		return
 	}
 	t.search.cancel()
-	if t.search.sent {
+	if t.search.target != "" {
 		t.runs++
 	}
 	t.search = nil
 }
 
 // check begins a search if there has been no progress for too long and another target is
-// expected to take the request.
+// expected to take the request. A search whose target is silent too ends if there is a further
+// one.
 func (t *attemptTimer) check() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.timer == nil || t.held || t.search != nil || t.replacement != nil {
+	if t.timer == nil || t.replacement != nil || t.search == nil && t.held {
 		return
 	}
-	silent := t.dispatcher.Clock.Now() - t.since
-	if silent < t.limit {
-		t.timer.Reset(t.limit - silent)
+	silentAt := t.since + t.limit
+	if t.search != nil {
+		if t.search.target == "" {
+			return
+		}
+		silentAt = t.search.until
+	}
+	if left := silentAt - t.dispatcher.Clock.Now(); left > 0 {
+		t.timer.Reset(left)
 		return
 	}
 	next := t.nextAttempt()
@@ -182,6 +190,10 @@
 		t.timer.Reset(successorInterval)
 		return
 	}
+	if t.search != nil {
+		t.job.excluded[t.search.target] = true
+		t.abandon()
+	}
 	ctx, cancel := context.WithCancel(t.ctx)
 	t.search = &search{cancel: cancel, done: make(chan struct{})}
 	go t.replace(ctx, t.search, next)
@@ -192,10 +204,13 @@
 func (t *attemptTimer) replace(ctx context.Context, s *search, next *job) {
 	defer close(s.done)
 	attempts := next.attempts
-	r := t.dispatcher.beginElsewhere(ctx, next, func() {
+	r := t.dispatcher.beginElsewhere(ctx, next, func(limit time.Duration) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		s.sent = true
+		s.target, s.until = next.current.ID, t.dispatcher.Clock.Now()+limit
+		if t.search == s && t.timer != nil {
+			t.timer.Reset(limit)
+		}
 	})
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -231,7 +246,12 @@
 	j.excluded = maps.Clone(j.excluded)
 	j.requested, j.counted = true, true // the attempt counts the request
 	restart := d.restartTime(j)
-	if !j.idempotent() || j.attempts+t.runs+1 >= j.rule.Attempts || now+restart >= j.startBy {
+	runs := t.runs
+	if t.search != nil {
+		j.excluded[t.search.target] = true
+		runs++
+	}
+	if !j.idempotent() || j.attempts+runs+1 >= j.rule.Attempts || now+restart >= j.startBy {
 		return nil
 	}
 	if _, _, refused := d.Quarantine.Refuses(j.subject()); refused || d.checkKey(j) != nil {
--- a/coordination/fleetdispatcher/replacement.go
+++ b/coordination/fleetdispatcher/replacement.go
@@ -45,9 +45,10 @@
 
 // beginElsewhere has another target answer a request, while the last one is silent. It returns
 // as soon as the target has sent the header of a successful answer, or nil if none does. The
-// function sent is called before the request is sent for the answer. All retries that j holds
-// and that are not used go back to the budget.
-func (d *Dispatcher) beginElsewhere(ctx context.Context, j *job, sent func()) *replacement {
+// function sent is called before the request is sent for the answer, with the time after which
+// the target counts as silent. All retries that j holds and that are not used go back to the
+// budget.
+func (d *Dispatcher) beginElsewhere(ctx context.Context, j *job, sent func(limit time.Duration)) *replacement {
 	defer d.settle(j)
 	shared := len(j.visited)
 	p, ok := d.planElsewhere(ctx, j)
@@ -58,7 +59,11 @@
 	j.current = t
 	j.visit(t)
 	d.Router.Begin(t.ID)
-	sent()
+	limit := headTimeout(j.rule)
+	if p.relay != nil {
+		limit += p.placement.Wait + prefillTimeout(j, p.placement, d.Clock.Now())
+	}
+	sent(limit)
 	out := &replacement{job: j, shared: shared, plan: p, sent: d.Clock.Now()}
 	var err error
 	if j.plain() {
--- a/coordination/fleetdispatcher/replacement_test.go
+++ b/coordination/fleetdispatcher/replacement_test.go
@@ -10,8 +10,29 @@
 	qt "github.com/frankban/quicktest"
 
 	"radishspoke"
+	"radishspoke/platform"
 )
 
+// setAttempts sets the maximum number of attempts of all routes.
+func setAttempts(d *Dispatcher, n int) {
+	rules := d.Configurations.Configuration().Table.Rules
+	for i := range rules {
+		rules[i].Attempts = n
+	}
+}
+
+// resumes reports whether a request goes on with a stream.
+func resumes(r *http.Request) bool {
+	in, err := platform.DecodeRequest(r.Header)
+	if err != nil {
+		panic(err)
+	}
+	return in.LastEvent != ""
+}
+
+// hang never answers.
+func hang(conn net.Conn, _ *http.Request) { _, _ = conn.Read(make([]byte, 1)) }
+
 // refuseLate refuses a request after a pause.
 func refuseLate(conn net.Conn, r *http.Request) {
 	time.Sleep(silence)
@@ -24,6 +45,44 @@
 	_ = conn.Close()
 }
 
+// TestTwoSilentTargets guards against requests that wait for the second of two silent targets
+// although a third one answers.
+func TestTwoSilentTargets(t *testing.T) {
+	stallOrHang := func(conn net.Conn, r *http.Request) {
+		if resumes(r) {
+			hang(conn, r)
+			return
+		}
+		stall(conn, r)
+	}
+	for _, k := range []struct {
+		name   string
+		role   radishspoke.Role
+		silent answerFunc
+	}{
+		{"plain", "", hang},
+		{"before the head", radishspoke.DecodeRole, hang},
+		{"between events", radishspoke.DecodeRole, stallOrHang},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				for seed := range uint64(10) {
+					n := &memoryNetwork{targets: map[string]answerFunc{"a:1": k.silent, "b:1": k.silent, "c:1": goOn}}
+					d := newSilenceDispatcher(n, k.role, 9, seed)
+					setAttempts(d, 3)
+					learnFirstEvent(d, 400*time.Millisecond)
+					began := time.Now()
+					w, aborted := serveOnce(c, d, n, shortPrompt)
+					c.Check(aborted, qt.IsFalse, qt.Commentf("sent to %v", n.requests()))
+					c.Assert(w.Body.String(), qt.Equals, wholeStream(), qt.Commentf("sent to %v", n.requests()))
+					c.Assert(w.longest < minPatience && w.last.Sub(began) < 2*minPatience, qt.IsTrue)
+				}
+			})
+		})
+	}
+}
+
 // TestNotRunIsTrueAfterSearch guards against a failure that says that a request has not run,
 // although a target that was asked in place of the silent one may have run it.
 func TestNotRunIsTrueAfterSearch(t *testing.T) {
