Go on directly after a sidecar has not accepted the order of a search

What callers saw: a stalled stream was cut at the end of its caller's patience although another engine was free, because the sidecar of the prefill engine accepted no order.

Cause: that a request must go to the engines directly was noted on the copy of one search.

A search that fails hands it on to the next one, like the excluded targets.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -224,7 +224,7 @@
 		s.cancel()
 		t.search = nil
 		t.runs += next.attempts - attempts
-		t.job.excluded = next.excluded
+		t.job.excluded, t.job.noRelay = next.excluded, next.noRelay
 		if t.timer != nil {
 			t.timer.Reset(successorInterval)
 		}
--- a/coordination/fleetdispatcher/replacement_test.go
+++ b/coordination/fleetdispatcher/replacement_test.go
@@ -1,6 +1,7 @@
 package fleetdispatcher
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"testing"
@@ -10,7 +11,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"radishspoke"
+	"radishspoke/coordination/relayer"
 	"radishspoke/platform"
+	"radishspoke/transport/httpclient"
 )
 
 // setAttempts sets the maximum number of attempts of all routes.
@@ -138,3 +141,36 @@
 		})
 	}
 }
+
+// rejectingRelay is a sidecar that accepts no order. It is not used for the first prompt.
+type rejectingRelay struct {
+	stubRelay
+	asked int
+}
+
+// Worthwhile implements RelayClient.
+func (r *rejectingRelay) Worthwhile(string, int) bool {
+	r.asked++
+	return r.asked > 1
+}
+
+// Do implements RelayClient.
+func (r *rejectingRelay) Do(context.Context, string, *relayer.Order, relayer.Progress) (*httpclient.Response, relayer.Stats, error) {
+	return nil, relayer.Stats{}, relayer.ErrNotAccepted
+}
+
+// TestSearchGoesDirect guards against a stalled stream that is not resumed because a sidecar
+// accepts no order.
+func TestSearchGoesDirect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		for seed := range uint64(10) {
+			n := &memoryNetwork{targets: map[string]answerFunc{"a:1": stall, "b:1": goOn, "prefill:1": prefillPrompt}}
+			d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, seed)
+			d.RelayClient, d.Answers = &rejectingRelay{}, noAnswers{}
+			w, aborted := serveOnce(c, d, n, longPrompt)
+			c.Check(aborted, qt.IsFalse, qt.Commentf("sent to %v", n.requests()))
+			c.Assert(w.Body.String(), qt.Equals, wholeStream(), qt.Commentf("sent to %v", n.requests()))
+		}
+	})
+}
