Record that a target broke a request off while another one was being asked

What callers saw: a request on which targets crash was sent on, as the crash of a silent target went unnoticed if another one began to answer after it.

Cause: an attempt that ended by itself during a search waited for the search, and then counted as given up for silence if the search succeeded. Nothing was reported to the quarantine.

Only an attempt that was ended for its replacement counts as silent. A replacement on trial stays on trial.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -80,6 +80,7 @@
 	search      *search       // nil if no other target is being asked
 	runs        int           // number of other targets that may have run the request
 	replacement *replacement  // nil until another target has begun to answer
+	givenUp     bool          // the attempt was ended for the replacement
 }
 
 // search is one try to have another target answer.
@@ -231,6 +232,10 @@
 	default:
 		r.cancel = s.cancel
 		t.search, t.replacement = nil, r
+		if t.held { // the attempt has ended by itself
+			return
+		}
+		t.givenUp = true
 		t.dispatcher.Recorder.ObserveGiveUp()
 		t.dispatcher.Log.Warn("silent attempt given up", "id", t.job.incoming.ID, "target", t.job.current.ID, "after", t.dispatcher.Clock.Now()-t.since, "successor", next.current.ID)
 		t.cancel()
@@ -322,7 +327,7 @@
 			j.adopt(t.replacement)
 		}
 	}
-	return t.replacement != nil
+	return t.givenUp
 }
 
 // end ends the attempt.
--- a/coordination/fleetdispatcher/quarantine.go
+++ b/coordination/fleetdispatcher/quarantine.go
@@ -67,7 +67,7 @@
 // target has broken off.
 func (d *Dispatcher) handleBreak(j *job, t radishspoke.Instance, sent time.Duration, reason error) {
 	j.breaks++
-	j.trial = false
+	j.trial = j.trial && j.replacement != nil // the one that goes on may be on trial
 	s := j.subject()
 	ids := make([]string, len(s.Parts))
 	for i, p := range s.Parts {
--- a/coordination/fleetdispatcher/replacement_test.go
+++ b/coordination/fleetdispatcher/replacement_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"radishspoke"
+	"radishspoke/coordination/quarantiner"
 	"radishspoke/coordination/relayer"
 	"radishspoke/platform"
 	"radishspoke/transport/httpclient"
@@ -174,3 +176,55 @@
 		}
 	})
 }
+
+// brokenTargets is a quarantine that records which targets have broken requests off.
+type brokenTargets struct {
+	Quarantine
+	mu  sync.Mutex
+	ids []string
+}
+
+// Broken implements Quarantine.
+func (q *brokenTargets) Broken(target radishspoke.Instance, s quarantiner.Subject, sent time.Duration) {
+	q.mu.Lock()
+	q.ids = append(q.ids, target.ID)
+	q.mu.Unlock()
+	q.Quarantine.Broken(target, s, sent)
+}
+
+// Crashed implements Quarantine.
+func (q *brokenTargets) Crashed(radishspoke.Instance) {}
+
+// TestBreakDuringSearchIsRecorded guards against targets that crash on a request unnoticed,
+// because another target was being asked in their place.
+func TestBreakDuringSearchIsRecorded(t *testing.T) {
+	for _, role := range []radishspoke.Role{"", radishspoke.DecodeRole} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range uint64(10) {
+				first := ""
+				n := &memoryNetwork{}
+				answer := func(address string) answerFunc {
+					return func(conn net.Conn, r *http.Request) {
+						if first == "" {
+							first = address
+							time.Sleep(500 * time.Millisecond)
+							_ = conn.Close()
+							return
+						}
+						time.Sleep(silence)
+						goOn(conn, r)
+					}
+				}
+				n.targets = map[string]answerFunc{"a:1": answer("a:1"), "b:1": answer("b:1")}
+				d := newSilenceDispatcher(n, role, 9, seed)
+				broken := &brokenTargets{Quarantine: d.Quarantine}
+				d.Quarantine = broken
+				w, aborted := serveOnce(c, d, n, shortPrompt)
+				c.Check(aborted, qt.IsFalse)
+				c.Check(w.Body.String(), qt.Equals, wholeStream())
+				c.Assert(broken.ids, qt.DeepEquals, []string{first}, qt.Commentf("role %q", role))
+			}
+		})
+	}
+}
