Count the engines that break a prompt off for the whole request

What callers saw: a prompt on which engines crash was sent to one prefill engine after the other while its stream was silent: 7 prefills in the test, where two engines may break a request off.

Cause: each search for another engine counted on its own copy of the request, and the next one began at nought.

The breaks of all searches count, and no search that needs a prefill begins after the second one.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -79,6 +79,7 @@
 	asked       bool          // a target was asked for the answer, not only for a prefill
 	search      *search       // nil if no other target is being asked
 	runs        int           // number of other targets that may have run the request
+	breaks      int           // number of other engines that have broken it off
 	replacement *replacement  // nil until another target has begun to answer
 	givenUp     bool          // the attempt was ended for the replacement
 }
@@ -204,7 +205,7 @@
 // attempt is still silent, ends the attempt.
 func (t *attemptTimer) replace(ctx context.Context, s *search, next *job) {
 	defer close(s.done)
-	attempts := next.attempts
+	attempts, breaks := next.attempts, next.breaks
 	r := t.dispatcher.beginElsewhere(ctx, next, func(limit time.Duration) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -215,6 +216,8 @@
 	})
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.breaks += next.breaks - breaks
+	t.job.breaks += next.breaks - breaks
 	switch {
 	case t.search != s: // there has been progress since, or the attempt has ended
 		s.cancel()
@@ -270,6 +273,9 @@
 		return nil
 	}
 	if !j.plain() && d.readSeparately(j) {
+		if j.breaks >= maxBreaks {
+			return nil
+		}
 		left := j.startBy - now - d.Estimator.Timing(j.group.Name).FirstEvent
 		if !d.Router.CanPrefill(j.group, j.incoming.Generation, d.expectedWait, left, j.selection()) || !d.takeRetries(j, 2) {
 			return nil
@@ -316,6 +322,7 @@
 	if t.timer != nil {
 		t.timer.Stop()
 		t.timer = nil
+		j.breaks += t.breaks
 		if t.runs > 0 {
 			j.attempts += t.runs
 			j.mayHaveRun = true
--- a/coordination/fleetdispatcher/replacement.go
+++ b/coordination/fleetdispatcher/replacement.go
@@ -29,7 +29,7 @@
 	j.replacement, j.mayHaveRun = r, true
 	maps.Copy(j.excluded, r.job.excluded)
 	j.visited += r.job.visited[r.shared:]
-	j.breaks, j.trial, j.noRelay = r.job.breaks, r.job.trial, r.job.noRelay
+	j.trial, j.noRelay = r.job.trial, r.job.noRelay
 	j.queueTime, j.prefill = r.job.queueTime, r.job.prefill
 }
 
--- a/coordination/fleetdispatcher/replacement_test.go
+++ b/coordination/fleetdispatcher/replacement_test.go
@@ -228,3 +228,30 @@
 		})
 	}
 }
+
+// TestBreaksOfSearchesAreCounted guards against a prompt that is sent to engine after engine
+// although each one breaks it off.
+func TestBreaksOfSearchesAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		for seed := range uint64(10) {
+			prefills := 0
+			once := func(conn net.Conn, r *http.Request) {
+				if prefills++; prefills == 1 {
+					prefillPrompt(conn, r)
+					return
+				}
+				_ = conn.Close()
+			}
+			n := &memoryNetwork{targets: map[string]answerFunc{"a:1": stall, "b:1": goOn}}
+			for _, address := range []string{"prefill:1", "prefill:2", "prefill:3", "prefill:4", "prefill:5", "prefill:6"} {
+				n.targets[address] = once
+			}
+			d := newSilenceDispatcher(n, radishspoke.DecodeRole, 30, seed)
+			d.Quarantine = &brokenTargets{Quarantine: d.Quarantine}
+			learnFirstEvent(d, 350*time.Millisecond)
+			serveOnce(c, d, n, longPrompt)
+			c.Assert(prefills <= 1+maxBreaks, qt.IsTrue, qt.Commentf("%d prefills; sent to %v", prefills, n.requests()))
+		}
+	})
+}
