Return the retries of a request to the budget once

What callers saw: nothing directly; a retry budget grew by one retry for each prefill that ended just as its timer had taken a retry, if a search followed.

Cause: a search began with a copy of the request, and of its credits, and returned them as its own.

A search takes its retries itself and begins without any. TestCreditsAreReturnedOnce fails without the change (0 taken for 1 that was used) and passes with it.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -98,6 +98,7 @@
 	ctx, t.cancel = context.WithCancel(ctx)
 	if j.idempotent() && !j.trial && j.attempts+1 < j.rule.Attempts && t.since+2*t.limit < j.deadline {
 		t.job = *j
+		t.job.credits = 0 // they belong to j
 		t.job.excluded = maps.Clone(j.excluded)
 		t.mu.Lock()
 		t.timer = time.AfterFunc(t.limit, t.check)
--- a/coordination/fleetdispatcher/replacement_test.go
+++ b/coordination/fleetdispatcher/replacement_test.go
@@ -255,3 +255,27 @@
 		}
 	})
 }
+
+// TestCreditsAreReturnedOnce guards against retries that are returned to the budget by the
+// search for another target and by the request that took them.
+func TestCreditsAreReturnedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := &memoryNetwork{targets: map[string]answerFunc{"a:1": hang, "b:1": writeRefusal}}
+		d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, 1)
+		table := d.Configurations.Configuration().Table
+		j := &job{excluded: map[string]bool{"a:1": true}, deadline: d.Clock.Now() + 15*time.Second, startBy: d.Clock.Now() + 15*time.Second, rule: table.Rules[0], group: table.Groups["g"]}
+		j.incoming.ID, j.method, j.target, j.host = "r1", http.MethodPost, "/", "h"
+		j.incoming.Generation = &radishspoke.GenerationInfo{Model: "m", Prompt: shortPrompt, Output: 10}
+		j.header = platform.EncodeRequest(platform.CallerHeader{ID: "r1"})
+		c.Assert(d.takeRetries(j, 1), qt.IsTrue)
+		_, timer := d.startAttempt(c.Context(), j)
+		time.Sleep(time.Second)
+		timer.end(j)
+		d.settle(j)
+		d.Targets.CloseIdle("b:1")
+		time.Sleep(time.Second)
+		// The request for b:1 was sent.
+		c.Assert(d.RetryBudgets.(*stubBudgets).taken, qt.Equals, len(n.requests()))
+	})
+}
