Keep the failure of a target if a later one breaks off within its answer

What callers saw: 502 in place of the answer of the first target, a failure, if the next target failed too and broke off before its answer was whole.

Cause: reading the second answer cleared the first one.

TestEarlierFailureIsKept fails without the change (502 for 500) and passes with it.

--- a/coordination/fleetdispatcher/replacement_test.go
+++ b/coordination/fleetdispatcher/replacement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -279,3 +280,29 @@
 		c.Assert(d.RetryBudgets.(*stubBudgets).taken, qt.Equals, len(n.requests()))
 	})
 }
+
+// TestEarlierFailureIsKept guards against a failure of this process in place of the answer of a
+// target, because a later one broke off within its answer.
+func TestEarlierFailureIsKept(t *testing.T) {
+	for _, role := range []radishspoke.Role{"", radishspoke.DecodeRole} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range uint64(10) {
+				first := true
+				answer := func(conn net.Conn, r *http.Request) {
+					writeStatus(conn, r, platform.AnswerHeader{Stamped: true}, "500 Failed\r\nContent-Length: 4")
+					if first {
+						first = false
+						_, _ = io.WriteString(conn, "mine")
+						return
+					}
+					_ = conn.Close()
+				}
+				n := &memoryNetwork{targets: map[string]answerFunc{"a:1": answer, "b:1": answer}}
+				w, aborted := serveOnce(c, newSilenceDispatcher(n, role, 9, seed), n, shortPrompt)
+				c.Check(aborted, qt.IsFalse)
+				c.Assert(w.Code, qt.Equals, http.StatusInternalServerError, qt.Commentf("role %q; sent to %v", role, n.requests()))
+			}
+		})
+	}
+}
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -166,10 +166,11 @@
 		return d.decide(ctx, j, true, timer), "answer does not come from a target"
 	}
 	if r.Status >= http.StatusInternalServerError && j.rule.Kind == radishspoke.Safe {
-		var err error
-		if j.failed, err = keepAnswer(r); err != nil {
+		kept, err := keepAnswer(r)
+		if err != nil {
 			return d.decide(ctx, j, true, timer), err.Error()
 		}
+		j.failed = kept
 		d.Quarantine.Completed(j.subject())
 		return d.decide(ctx, j, true, timer), "target failed"
 	}
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -73,10 +73,11 @@
 	}
 	if r.Status != http.StatusOK {
 		if j.idempotent() {
-			var err error
-			if j.failed, err = keepAnswer(r); err != nil {
+			kept, err := keepAnswer(r)
+			if err != nil {
 				return d.decide(ctx, j, true, timer), err.Error()
 			}
+			j.failed = kept
 			return d.decide(ctx, j, true, timer), "engine failed"
 		}
 		if aw.started {
