Count the targets that may have run a request, not its attempts

What callers saw: a stream was cut when its engine broke off, with two attempts, because another engine had been asked in vain while the first one was silent earlier.

Cause: each attempt counted against the maximum of the route, although the same target may be asked again: the maximum is one of targets.

The targets are kept by id. Once there are as many as the route allows, the request goes only to those among them that have not failed it.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,7 +79,7 @@
 	limit       time.Duration // maximum time without progress
 	asked       bool          // a target was asked for the answer, not only for a prefill
 	search      *search       // nil if no other target is being asked
-	runs        int           // number of other targets that may have run the request
+	ran         []string      // ids of other targets that may have run the request
 	breaks      int           // number of other engines that have broken it off
 	replacement *replacement  // nil until another target has begun to answer
 	givenUp     bool          // the attempt was ended for the replacement
@@ -96,7 +97,7 @@
 func (d *Dispatcher) startAttempt(ctx context.Context, j *job) (context.Context, *attemptTimer) {
 	t := &attemptTimer{dispatcher: d, ctx: ctx, limit: headTimeout(j.rule), since: d.Clock.Now()}
 	ctx, t.cancel = context.WithCancel(ctx)
-	if j.idempotent() && !j.trial && j.attempts+1 < j.rule.Attempts && t.since+2*t.limit < j.deadline {
+	if j.idempotent() && !j.trial && len(j.ran)+1 < j.rule.Attempts && t.since+2*t.limit < j.deadline {
 		t.job = *j
 		t.job.credits = 0 // they belong to j
 		t.job.excluded = maps.Clone(j.excluded)
@@ -163,7 +164,7 @@
 	}
 	t.search.cancel()
 	if t.search.target != "" {
-		t.runs++
+		t.ran = append(t.ran, t.search.target)
 	}
 	t.search = nil
 }
@@ -206,7 +207,7 @@
 // attempt is still silent, ends the attempt.
 func (t *attemptTimer) replace(ctx context.Context, s *search, next *job) {
 	defer close(s.done)
-	attempts, breaks := next.attempts, next.breaks
+	breaks := next.breaks
 	r := t.dispatcher.beginElsewhere(ctx, next, func(limit time.Duration) {
 		t.mu.Lock()
 		defer t.mu.Unlock()
@@ -228,7 +229,9 @@
 	case r == nil:
 		s.cancel()
 		t.search = nil
-		t.runs += next.attempts - attempts
+		if s.target != "" && slices.Contains(next.ran, s.target) {
+			t.ran = append(t.ran, s.target)
+		}
 		t.job.excluded, t.job.noRelay = next.excluded, next.noRelay
 		if t.timer != nil {
 			t.timer.Reset(successorInterval)
@@ -255,12 +258,14 @@
 	j.excluded = maps.Clone(j.excluded)
 	j.requested, j.counted = true, true // the attempt counts the request
 	restart := d.restartTime(j)
-	runs := t.runs
+	for _, id := range append([]string{j.current.ID}, t.ran...) {
+		j.markRun(id)
+	}
 	if t.search != nil {
 		j.excluded[t.search.target] = true
-		runs++
+		j.markRun(t.search.target)
 	}
-	if !j.idempotent() || j.attempts+runs+1 >= j.rule.Attempts || now+restart >= j.startBy {
+	if !j.idempotent() || len(j.ran) >= j.rule.Attempts && !j.mayReturn() || now+restart >= j.startBy {
 		return nil
 	}
 	if _, _, refused := d.Quarantine.Refuses(j.subject()); refused || d.checkKey(j) != nil {
@@ -324,9 +329,11 @@
 		t.timer.Stop()
 		t.timer = nil
 		j.breaks += t.breaks
-		if t.runs > 0 {
-			j.attempts += t.runs
-			j.mayHaveRun = true
+		for _, id := range t.ran {
+			j.markRun(id)
+			j.excluded[id] = j.excluded[id] || t.job.excluded[id]
+		}
+		if len(t.ran) > 0 {
 			if j.plain() {
 				t.dispatcher.countBegun(j)
 			}
--- a/coordination/fleetdispatcher/job.go
+++ b/coordination/fleetdispatcher/job.go
@@ -41,7 +41,7 @@
 	excluded   map[string]bool // ids of the targets that must not be tried again
 	mayHaveRun bool            // a target may have run the request
 	counted    bool            // the request is counted as begun
-	attempts   int             // number of attempts in which a target may have run the request
+	ran        []string        // ids of the targets that may have run the request
 	breaks     int             // number of engines that have broken the request off
 	trial      bool            // the request is suspected to crash targets, and may be sent once
 	visited    string          // comma-separated ids of the targets, for the log
--- a/coordination/fleetdispatcher/replacement.go
+++ b/coordination/fleetdispatcher/replacement.go
@@ -81,7 +81,7 @@
 		out.reply.Close()
 	case !out.reply.Stamped || !j.accepts(out.reply.Status):
 		d.Router.End(t.ID, fleetrouter.Report{Failed: true})
-		j.markRun()
+		j.markRun(t.ID)
 		out.reply.Close()
 	default:
 		return out
--- a/coordination/fleetdispatcher/resumption.go
+++ b/coordination/fleetdispatcher/resumption.go
@@ -56,9 +56,14 @@
 }
 
 // selection returns the targets that may get the request: once a stream has begun, those with
-// the software version that began it.
+// the software version that began it, and once as many may have run it as the route allows,
+// those.
 func (j *job) selection() fleetrouter.Selection {
-	return fleetrouter.Selection{Exclude: j.excluded, Software: j.software}
+	sel := fleetrouter.Selection{Exclude: j.excluded, Software: j.software}
+	if len(j.ran) >= j.rule.Attempts {
+		sel.Among = j.ran
+	}
+	return sel
 }
 
 // resumesStream reports whether the caller has received events of the stream before.
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,7 +75,7 @@
 	if j.replacement != nil {
 		return retry
 	}
-	if mayHaveRun && (!j.idempotent() || j.attempts >= j.rule.Attempts) {
+	if mayHaveRun && (!j.idempotent() || len(j.ran) >= j.rule.Attempts && !j.mayReturn()) {
 		return finished
 	}
 	if !d.takeRetry(j) {
@@ -159,7 +160,7 @@
 		d.Router.End(t.ID, report)
 		return d.decide(ctx, j, false, timer), "target does not take the request now"
 	}
-	j.markRun()
+	j.markRun(t.ID)
 	d.countBegun(j)
 	defer func() { d.Router.End(t.ID, report) }()
 	if !r.Stamped {
@@ -201,7 +202,7 @@
 	if errors.Is(err, httpclient.ErrNotSent) {
 		return false
 	}
-	j.markRun()
+	j.markRun(t.ID)
 	d.countBegun(j)
 	d.Targets.CloseIdle(t.Address)
 	if ctx.Err() == nil {
@@ -221,9 +222,16 @@
 }
 
 // markRun records that a target may have run the request.
-func (j *job) markRun() {
+func (j *job) markRun(target string) {
 	j.mayHaveRun = true
-	j.attempts++
+	if !slices.Contains(j.ran, target) {
+		j.ran = append(slices.Clip(j.ran), target) // copies of j share the list
+	}
+}
+
+// mayReturn reports whether a target that may have run the request can be asked again.
+func (j *job) mayReturn() bool {
+	return slices.ContainsFunc(j.ran, func(id string) bool { return !j.excluded[id] })
 }
 
 // countBegun counts a request as begun, once.
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -58,7 +58,7 @@
 	}
 	report := plan.newReport(ctx, r, nil, took)
 	defer func() { d.Router.End(t.ID, report) }()
-	j.markRun()
+	j.markRun(t.ID)
 	defer d.Forecaster.BeginStream(j.group.Name, j.incoming.Generation.Prompt+j.incoming.Generation.Output)()
 	answered := d.Clock.Now()
 	if plan.prefillID != "" {
@@ -171,7 +171,7 @@
 	report.Inconclusive = report.Inconclusive || timer != nil && !timer.asked
 	d.Router.End(t.ID, report)
 	j.requested = true
-	j.markRun()
+	j.markRun(t.ID)
 	d.Targets.CloseIdle(t.Address)
 	if ctx.Err() == nil && !report.Silent {
 		d.handleBreak(j, t, sent, err)
--- a/coordination/fleetrouter/selection.go
+++ b/coordination/fleetrouter/selection.go
@@ -1,11 +1,18 @@
 package fleetrouter
 
-import "radishspoke"
+import (
+	"slices"
+
+	"radishspoke"
+)
 
 // Selection restricts the targets that are considered for a request.
 type Selection struct {
 	Exclude map[string]bool // ids of targets that are not considered
 
+	// Among has the ids of the targets that may answer the request. It is empty for any.
+	Among []string
+
 	// Software is the version of the software that has to write the answer. It is empty
 	// for any.
 	Software string
@@ -35,7 +42,10 @@
 	if s.Free && !t.free() {
 		return false
 	}
-	return !s.Exclude[t.ID] && (s.Software == "" || s.Software == t.Software || t.Role == radishspoke.PrefillRole)
+	if s.Exclude[t.ID] || t.Role == radishspoke.PrefillRole {
+		return !s.Exclude[t.ID]
+	}
+	return (s.Software == "" || s.Software == t.Software) && (len(s.Among) == 0 || slices.Contains(s.Among, t.ID))
 }
 
 // withOthersOfVersion returns the targets in list whose software version has a further one
--- a/coordination/fleetrouter/selection_test.go
+++ b/coordination/fleetrouter/selection_test.go
@@ -56,3 +56,16 @@
 	_, err = alone.PickShort("g", fleetrouter.Selection{})
 	c.Assert(err, qt.IsNil)
 }
+
+// TestSelectionAmong checks that only the given targets answer a request.
+func TestSelectionAmong(t *testing.T) {
+	c := qt.New(t)
+	r, _ := newRouter(1, "z0", versioned("v1", "v1", "v1"))
+	for range 50 {
+		e, err := r.PickShort("g", fleetrouter.Selection{Among: []string{"e0", "e2"}, Exclude: map[string]bool{"e0": true}})
+		c.Assert(err, qt.IsNil)
+		c.Assert(e.ID, qt.Equals, "e2")
+	}
+	_, err := r.PickDecode("g", "z0", fleetrouter.Selection{Among: []string{"e0"}, Exclude: map[string]bool{"e0": true}})
+	c.Assert(err, qt.ErrorIs, fleetrouter.ErrNoTarget)
+}
