Return to a target that was left because it was silent if no other one is left

What callers saw: a stream was cut, or a request failed, because the target that had taken the place of a silent one broke off, while the silent one, which was sound, would have taken it.

Cause: a target that was left for silence stayed excluded.

It is again, once no other target can be chosen, and without a further attempt, as it may have run the request before. TestStreamReturnsToSilentTarget fails without the change, with two and with three attempts (sent to [b:1 a:1], cut), and passes with it.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -341,6 +341,9 @@
 		if t.replacement != nil {
 			j.adopt(t.replacement)
 		}
+		if t.givenUp {
+			j.silent = append(j.silent, t.job.current.ID)
+		}
 	}
 	return t.givenUp
 }
@@ -376,6 +379,17 @@
 	return d.RetryBudgets.Retry(j.group.Name)
 }
 
+// readmitSilent makes the targets that were left for silence eligible again. It returns false if
+// there are none.
+func (j *job) readmitSilent() bool {
+	found := len(j.silent) > 0
+	for _, id := range j.silent {
+		delete(j.excluded, id)
+	}
+	j.silent = nil
+	return found
+}
+
 // settle releases what is reserved for further attempts of a request that has ended.
 func (d *Dispatcher) settle(j *job) {
 	if j.replacement != nil {
--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -93,11 +93,14 @@
 	var fail *radishspoke.Failure
 	if j.kept != nil {
 		p, j.kept = *j.kept, nil
-	} else if p, fail = d.planPrefill(ctx, j); fail != nil {
+	} else if p, fail = d.planPrefill(ctx, j); fail != nil && (ctx.Err() != nil || !j.readmitSilent()) {
 		return prefillPlan{}, fail
 	}
 	if p.decoder == nil {
 		t, err := d.pickDecode(j, p)
+		if err != nil && j.readmitSilent() {
+			t, err = d.pickDecode(j, p)
+		}
 		if err != nil {
 			relayer.ReleaseHandle(d.Targets, p.handle, d.Log)
 			if j.software != "" {
--- a/coordination/fleetdispatcher/job.go
+++ b/coordination/fleetdispatcher/job.go
@@ -42,6 +42,7 @@
 	mayHaveRun bool            // a target may have run the request
 	counted    bool            // the request is counted as begun
 	ran        []string        // ids of the targets that may have run the request
+	silent     []string        // ids of the targets that were left because they were silent
 	breaks     int             // number of engines that have broken the request off
 	trial      bool            // the request is suspected to crash targets, and may be sent once
 	visited    string          // comma-separated ids of the targets, for the log
--- a/coordination/fleetdispatcher/replacement_test.go
+++ b/coordination/fleetdispatcher/replacement_test.go
@@ -177,6 +177,38 @@
 	})
 }
 
+// TestStreamReturnsToSilentTarget guards against a stream that ends because the target that
+// took the place of a silent one breaks off, while no other is left.
+func TestStreamReturnsToSilentTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		for seed := range uint64(10) {
+			attempts := 2 + int(seed%2)
+			var resumed atomic.Int32
+			answer := func(conn net.Conn, r *http.Request) {
+				if !resumes(r) {
+					pauseBetweenEvents(conn, r)
+					return
+				}
+				if resumed.Add(1) > 1 {
+					goOn(conn, r)
+					return
+				}
+				writeHead(conn, r)
+				writeEvents(conn, 3, 3)
+				_ = conn.Close()
+			}
+			n := &memoryNetwork{targets: map[string]answerFunc{"a:1": answer, "b:1": answer}}
+			d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, seed)
+			setAttempts(d, attempts)
+			learnFirstEvent(d, 500*time.Millisecond)
+			w, aborted := serveOnce(c, d, n, shortPrompt)
+			c.Check(aborted, qt.IsFalse, qt.Commentf("%d attempts; sent to %v", attempts, n.requests()))
+			c.Assert(w.Body.String(), qt.Equals, wholeStream(), qt.Commentf("%d attempts; sent to %v", attempts, n.requests()))
+		}
+	})
+}
+
 // TestStreamGoesOnAfterAbandonedSearch guards against a stream that ends when its target breaks
 // off, because another one had been asked in vain while the target was silent before.
 func TestStreamGoesOnAfterAbandonedSearch(t *testing.T) {
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -114,6 +114,9 @@
 		return radishspoke.Instance{}, fail
 	}
 	t, err := d.Router.PickPlain(j.group.Name, j.selection())
+	if err != nil && j.readmitSilent() {
+		t, err = d.Router.PickPlain(j.group.Name, j.selection())
+	}
 	if err != nil && j.software != "" {
 		return t, d.noVersion(j)
 	}
@@ -231,7 +234,7 @@
 
 // mayReturn reports whether a target that may have run the request can be asked again.
 func (j *job) mayReturn() bool {
-	return slices.ContainsFunc(j.ran, func(id string) bool { return !j.excluded[id] })
+	return len(j.silent) > 0 || slices.ContainsFunc(j.ran, func(id string) bool { return !j.excluded[id] })
 }
 
 // countBegun counts a request as begun, once.
