Wait for a silent prefill at a sidecar while no other engine takes its place

What callers saw: 503 in place of an answer. The prefill engine of a relayed request paused for 1.2 s, its sidecar ended the prefill at its own limit, 4 times the expected time and 250 ms, and no retry was left. The engine would have gone on.

Cause: the sidecar let go of the prefill by itself, as the entry did before.

While the entry looks for another target, the sidecar may take the time that is left: the entry's timer begins a search after the same limit. As long as the prompt is being prefilled, the engine that is to answer has not been asked: the search may use it. TestSilentRelayedPrefill fails without the first part (0 retries: 503, "engine gave no answer"), TestHungRelayedPrefill without the second (sent to []: the caller left), and TestSilentSuccessorIsNotItsOwn if a replacement does not count as asked (sent to [b:1 a:1 a:1]).

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -118,6 +118,16 @@
 	t.asked = true
 }
 
+// supervises reports whether another target is looked for while there is no progress.
+func (t *attemptTimer) supervises() bool {
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.timer != nil
+}
+
 // avoid keeps a target from being asked in place of the current one.
 func (t *attemptTimer) avoid(id string) {
 	if t == nil {
@@ -258,7 +268,12 @@
 	j.excluded = maps.Clone(j.excluded)
 	j.requested, j.counted = true, true // the attempt counts the request
 	restart := d.restartTime(j)
-	for _, id := range append([]string{j.current.ID}, t.ran...) {
+	if t.asked {
+		j.markRun(j.current.ID)
+	} else {
+		delete(j.excluded, j.current.ID) // the prompt is still being prefilled
+	}
+	for _, id := range t.ran {
 		j.markRun(id)
 	}
 	if t.search != nil {
--- a/coordination/fleetdispatcher/relay.go
+++ b/coordination/fleetdispatcher/relay.go
@@ -26,6 +26,10 @@
 func (d *Dispatcher) relay(ctx context.Context, j *job, plan prefillPlan, timer *attemptTimer) (*reply, time.Duration, error) {
 	engine, now := plan.relay, d.Clock.Now()
 	timeout := prefillTimeout(j, plan.placement, now)
+	limit := timeout
+	if timer.supervises() {
+		limit = j.deadline - now
+	}
 	j.visit(*engine)
 	delete(j.excluded, engine.ID) // a prefill does not run the request
 	timer.avoid(engine.ID)
@@ -33,7 +37,7 @@
 	a, out, err := d.RelayClient.Do(ctx, engine.ID, &relayer.Order{
 		Request: j.request(), PrefillEngine: engine.ID, DecodeEngine: plan.decoder.ID, DecodeAddress: plan.decoder.Address,
 		Rank: j.team.Rank, OnTime: j.onTime - now, Deadline: j.deadline - now, LatestStart: d.latestStart(j) - now,
-		ExpectedPrefill: plan.placement.Prefill, PrefillTimeout: timeout, FetchFrom: plan.placement.FetchFrom, FirstEvent: d.Estimator.Timing(j.group.Name).FirstEvent,
+		ExpectedPrefill: plan.placement.Prefill, PrefillTimeout: limit, FetchFrom: plan.placement.FetchFrom, FirstEvent: d.Estimator.Timing(j.group.Name).FirstEvent,
 	}, func(s relayer.Stage, expected time.Duration) {
 		switch s {
 		case relayer.Queued:
--- a/coordination/fleetdispatcher/replacement_test.go
+++ b/coordination/fleetdispatcher/replacement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -361,3 +362,90 @@
 		})
 	}
 }
+
+// pausingRelay is a sidecar whose engine pauses before the prefill. It ends a prefill at the
+// limit of the order.
+type pausingRelay struct {
+	stubRelay
+	targets Targets
+	pause   time.Duration
+	once    bool // only the first order is relayed
+	asked   atomic.Int32
+}
+
+// Worthwhile implements RelayClient.
+func (r *pausingRelay) Worthwhile(string, int) bool { return r.asked.Add(1) == 1 || !r.once }
+
+// Do implements RelayClient.
+func (r *pausingRelay) Do(ctx context.Context, _ string, o *relayer.Order, p relayer.Progress) (*httpclient.Response, relayer.Stats, error) {
+	p(relayer.Queued, 0)
+	select {
+	case <-ctx.Done():
+		return nil, relayer.Stats{}, httpclient.ErrNoResponse
+	case <-time.After(min(r.pause, o.PrefillTimeout)):
+	}
+	if o.PrefillTimeout < r.pause {
+		return nil, relayer.Stats{PrefillTime: o.PrefillTimeout}, fmt.Errorf("%w: %w", relayer.ErrNotPrefilled, relayer.ErrNoResponse)
+	}
+	p(relayer.Forwarded, 0)
+	a, err := r.targets.Do(ctx, o.DecodeAddress, o.Call(platform.TargetHeader{Instance: o.DecodeEngine}))
+	return a, relayer.Stats{PrefillTime: r.pause}, err
+}
+
+// TestSilentRelayedPrefill guards against refusals of relayed requests whose prefill engine
+// pauses, while no retry is left.
+func TestSilentRelayedPrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		for left := range 2 {
+			n := &memoryNetwork{targets: map[string]answerFunc{"a:1": goOn, "b:1": goOn, "prefill:1": prefillPrompt}}
+			d := newSilenceDispatcher(n, radishspoke.DecodeRole, left, 1)
+			d.RelayClient, d.Answers = &pausingRelay{targets: d.Targets, pause: silence}, noAnswers{}
+			learnFirstEvent(d, 10*time.Millisecond)
+			w, aborted := serveOnce(c, d, n, longPrompt)
+			c.Check(aborted, qt.IsFalse)
+			c.Assert(w.Code, qt.Equals, http.StatusOK, qt.Commentf("%d retries; %s; sent to %v", left, w.Body, n.requests()))
+		}
+	})
+}
+
+// TestHungRelayedPrefill guards against a request that waits for a hung prefill engine until its
+// caller leaves, because the only decode engine, which was not asked yet, was left out.
+func TestHungRelayedPrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		for seed := range uint64(10) {
+			n := &memoryNetwork{targets: map[string]answerFunc{"a:1": goOn, "prefill:1": prefillPrompt, "prefill:2": prefillPrompt}}
+			d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, seed)
+			d.RelayClient, d.Answers = &pausingRelay{targets: d.Targets, pause: time.Minute, once: true}, noAnswers{}
+			learnFirstEvent(d, 10*time.Millisecond)
+			began := time.Now()
+			w, aborted := serveOnce(c, d, n, longPrompt)
+			c.Check(aborted, qt.IsFalse)
+			c.Assert(w.Body.String(), qt.Equals, wholeStream(), qt.Commentf("sent to %v", n.requests()))
+			c.Assert(w.last.Sub(began) < minPatience, qt.IsTrue)
+		}
+	})
+}
+
+// TestSilentSuccessorIsNotItsOwn guards against a search that asks the silent target itself,
+// because that had taken the place of another one.
+func TestSilentSuccessorIsNotItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		for seed := range uint64(20) {
+			n := &memoryNetwork{}
+			answer := func(conn net.Conn, r *http.Request) {
+				writeHead(conn, r)
+				writeEvents(conn, len(n.requests())-1, len(n.requests())-1)
+				hang(conn, r)
+			}
+			n.targets = map[string]answerFunc{"a:1": answer, "b:1": answer}
+			d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, seed)
+			setAttempts(d, 3)
+			learnFirstEvent(d, 400*time.Millisecond)
+			serveOnce(c, d, n, shortPrompt)
+			c.Assert(n.requests(), qt.HasLen, 2)
+		}
+	})
+}
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -152,6 +152,7 @@
 		}
 		begun = &replacement{reply: r, sent: sent}
 	} else {
+		timer.ask()
 		defer context.AfterFunc(attemptCtx, begun.cancel)()
 		defer begun.cancel()
 	}
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -44,6 +44,7 @@
 		}
 		begun = &replacement{reply: r, sent: sent, took: took}
 	} else {
+		timer.ask()
 		defer context.AfterFunc(attemptCtx, begun.cancel)()
 		defer begun.cancel()
 	}
