Keep a sidecar in use after an order that it had queued is cancelled

What callers saw: nothing wrong; their requests crossed slow links twice, until the next probe, whenever the caller of an order left, or another engine answered in its place.

Cause: any end of an order without an answer counted as silence of the sidecar, also if this process had ended it.

An order that this process ends tells nothing about a sidecar that has queued it. One that has not is still marked. TestCancelledOrder fails without the change and passes with it.

--- a/coordination/relayer/client.go
+++ b/coordination/relayer/client.go
@@ -258,9 +258,11 @@
 	if err != nil {
 		return nil, Stats{}, fmt.Errorf("%w: %w", ErrNotAccepted, err)
 	}
+	answered := false
 	a, err := c.targets.Do(ctx, address, &httpclient.Call{
 		Method: http.MethodPost, RequestURI: Path, Host: address, Header: http.Header{}, Body: data,
 		OnInterim: func(status int, h http.Header) {
+			answered = true
 			c.handleInterim(engine, status, h, progress)
 		},
 		Matches: func(status int, h http.Header, first bool) bool {
@@ -268,7 +270,9 @@
 		},
 	})
 	if err != nil {
-		c.MarkSilent(engine, err.Error())
+		if ctx.Err() == nil || !answered {
+			c.MarkSilent(engine, err.Error())
+		}
 		// A Relayer sends statusQueued before it does anything else. If the
 		// connection was closed before any byte of that, the order was not accepted.
 		if errors.Is(err, httpclient.ErrClosed) || errors.Is(err, httpclient.ErrNotSent) {
--- a/coordination/relayer/relayer_test.go
+++ b/coordination/relayer/relayer_test.go
@@ -179,3 +179,34 @@
 		qt.Assert(t, p, qt.DeepEquals, o)
 	})
 }
+
+// queueingSidecar is a sidecar that never answers an order. It queues orders if it is alive.
+type queueingSidecar struct{ alive bool }
+
+// Do implements relayer.Targets.
+func (s queueingSidecar) Do(ctx context.Context, _ string, k *httpclient.Call) (*httpclient.Response, error) {
+	if s.alive {
+		k.OnInterim(http.StatusProcessing, http.Header{})
+	}
+	<-ctx.Done()
+	return nil, httpclient.ErrNoResponse
+}
+
+// TestCancelledOrder guards against sidecars that count as silent because the caller of a queued
+// order has left, or another engine has answered it.
+func TestCancelledOrder(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			const body = 9_190
+			client := relayer.NewClient(relayer.ClientSettings{Link: 10e6 / 8}, queueingSidecar{alive}, ticker.NewMonotonicClock(), silent)
+			client.SetEngines([]radishspoke.Instance{{ID: "e", Address: "10.0.0.1:80", Role: radishspoke.PrefillRole}})
+			ctx, cancel := context.WithTimeout(c.Context(), time.Second)
+			defer cancel()
+			o := &relayer.Order{Request: relayer.Request{ID: "a", Method: "POST", Target: "/", Header: http.Header{}}}
+			_, _, err := client.Do(ctx, "e", o, func(relayer.Stage, time.Duration) {})
+			c.Assert(err, qt.ErrorIs, httpclient.ErrNoResponse)
+			c.Assert(client.Worthwhile("e", body), qt.Equals, alive)
+		})
+	}
+}
