--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,20 +79,18 @@
 	limit       time.Duration // maximum time without progress
 	asked       bool          // a target was asked for the answer, not only for a prefill
 	search      *search       // nil if no other target is being asked
-	runs        int           // number of other targets that may have run the request
-	breaks      int           // number of engines that have broken prefills for them off
+	ran         []string      // ids of other targets that may have run the request
+	breaks      int           // number of other engines that have broken it off
 	replacement *replacement  // nil until another target has begun to answer
-	givenUp     bool          // the attempt was ended because its target was silent
+	givenUp     bool          // the attempt was ended for the replacement
 }
 
 // search is one try to have another target answer.
 type search struct {
 	cancel context.CancelFunc
 	done   chan struct{} // closed after the search has ended
-	sent   bool          // a target was asked for the answer
-	target string        // its id
-	sentAt time.Duration
-	limit  time.Duration // maximum time until the target begins to answer
+	target string        // id of the target that was asked for the answer; empty before
+	until  time.Duration // time at which that target counts as silent
 }
 
 // startAttempt returns the context and the timer of one attempt of a request. The delay is the
@@ -99,9 +98,10 @@
 func (d *Dispatcher) startAttempt(ctx context.Context, j *job, delay time.Duration) (context.Context, *attemptTimer) {
 	t := &attemptTimer{dispatcher: d, ctx: ctx, limit: headTimeout(j.rule) + delay, since: d.Clock.Now()}
 	ctx, t.cancel = context.WithCancel(ctx)
-	if j.idempotent() && !j.trial && j.attempts+1 < j.rule.Attempts && t.since+2*t.limit < j.deadline {
+	if j.idempotent() && !j.trial && len(j.ran)+1 < j.rule.Attempts && t.since+2*t.limit < j.deadline {
 		t.job = *j
-		t.job.excluded, t.job.credits = maps.Clone(j.excluded), 0
+		t.job.credits = 0 // they belong to j
+		t.job.excluded = maps.Clone(j.excluded)
 		t.mu.Lock()
 		t.timer = time.AfterFunc(t.limit, t.check)
 		t.mu.Unlock()
@@ -119,6 +119,16 @@
 	t.asked = true
 }
 
+// supervises reports whether another target is looked for while there is no progress.
+func (t *attemptTimer) supervises() bool {
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.timer != nil
+}
+
 // avoid keeps a target from being asked in place of the current one.
 func (t *attemptTimer) avoid(id string) {
 	if t == nil {
@@ -164,35 +174,41 @@
 		return
 	}
 	t.search.cancel()
-	if t.search.sent {
-		t.runs++
-		t.job.excluded[t.search.target] = true
+	if t.search.target != "" {
+		t.ran = append(t.ran, t.search.target)
 	}
 	t.search = nil
 }
 
 // check begins a search if there has been no progress for too long and another target is
-// expected to take the request.
+// expected to take the request. A search whose target is silent too ends if there is a further
+// one.
 func (t *attemptTimer) check() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.timer == nil || t.held || t.replacement != nil {
+	if t.timer == nil || t.replacement != nil || t.search == nil && t.held {
 		return
 	}
-	now := t.dispatcher.Clock.Now()
-	if silent := now - t.since; silent < t.limit {
-		t.timer.Reset(t.limit - silent)
-		return
+	silentAt := t.since + t.limit
+	if t.search != nil {
+		if t.search.target == "" {
+			return
+		}
+		silentAt = t.search.until
 	}
-	t.timer.Reset(successorInterval)
-	if s := t.search; s != nil && (!s.sent || now-s.sentAt < s.limit) {
+	if left := silentAt - t.dispatcher.Clock.Now(); left > 0 {
+		t.timer.Reset(left)
 		return
 	}
 	next := t.nextAttempt()
 	if next == nil {
+		t.timer.Reset(successorInterval)
 		return
 	}
-	t.abandon() // a target that was asked before is silent too
+	if t.search != nil {
+		t.job.excluded[t.search.target] = true
+		t.abandon()
+	}
 	ctx, cancel := context.WithCancel(t.ctx)
 	t.search = &search{cancel: cancel, done: make(chan struct{})}
 	go t.replace(ctx, t.search, next)
@@ -202,17 +218,24 @@
 // attempt is still silent, ends the attempt.
 func (t *attemptTimer) replace(ctx context.Context, s *search, next *job) {
 	defer close(s.done)
-	attempts, breaks := next.attempts, next.breaks
+	breaks := next.breaks
 	r := t.dispatcher.beginElsewhere(ctx, next, func(p prefillPlan) bool {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		s.sent, s.target, s.sentAt = t.search == s, p.decoder.ID, t.dispatcher.Clock.Now()
-		s.limit = headTimeout(t.job.rule) + p.headDelay()
-		return s.sent
+		if t.search != s {
+			return false
+		}
+		limit := headTimeout(next.rule) + p.headDelay()
+		s.target, s.until = p.decoder.ID, t.dispatcher.Clock.Now()+limit
+		if t.timer != nil {
+			t.timer.Reset(limit)
+		}
+		return true
 	})
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.breaks += next.breaks - breaks
+	t.job.breaks += next.breaks - breaks
 	switch {
 	case t.search != s: // there has been progress since, or the attempt has ended
 		s.cancel()
@@ -222,13 +245,18 @@
 	case r == nil:
 		s.cancel()
 		t.search = nil
-		t.runs += next.attempts - attempts
-		t.job.excluded, t.job.noRelay, t.job.breaks = next.excluded, next.noRelay, next.breaks
+		if s.target != "" && slices.Contains(next.ran, s.target) {
+			t.ran = append(t.ran, s.target)
+		}
+		t.job.excluded, t.job.noRelay = next.excluded, next.noRelay
+		if t.timer != nil {
+			t.timer.Reset(successorInterval)
+		}
 	default:
 		r.cancel = s.cancel
 		t.search, t.replacement = nil, r
-		if t.held {
-			return // the attempt has failed
+		if t.held { // the attempt has ended by itself
+			return
 		}
 		t.givenUp = true
 		t.dispatcher.Recorder.ObserveGiveUp()
@@ -244,14 +272,21 @@
 	d, next, now := t.dispatcher, t.job, t.dispatcher.Clock.Now()
 	j := &next
 	j.excluded = maps.Clone(j.excluded)
-	j.requested = true
-	asked := t.runs
+	j.requested, j.counted = true, true // the attempt counts the request
+	restart := d.restartTime(j)
+	if t.asked {
+		j.markRun(j.current.ID)
+	} else {
+		delete(j.excluded, j.current.ID) // the prompt is still being prefilled
+	}
+	for _, id := range t.ran {
+		j.markRun(id)
+	}
 	if t.search != nil {
 		j.excluded[t.search.target] = true
-		asked++
+		j.markRun(t.search.target)
 	}
-	restart := d.restartTime(j)
-	if !j.idempotent() || j.attempts+asked+1 >= j.rule.Attempts || now+restart >= j.startBy {
+	if !j.idempotent() || len(j.ran) >= j.rule.Attempts && !j.mayReturn() || now+restart >= j.startBy {
 		return nil
 	}
 	if _, _, refused := d.Quarantine.Refuses(j.subject()); refused || d.checkKey(j) != nil {
@@ -265,6 +300,9 @@
 		return nil
 	}
 	if !j.plain() && d.readSeparately(j) {
+		if j.breaks >= maxBreaks {
+			return nil
+		}
 		left := j.startBy - now - d.Estimator.Timing(j.group.Name).FirstEvent
 		if !d.Router.CanPrefill(j.group, j.incoming.Generation, d.expectedWait, left, j.selection()) || !d.takeRetries(j, 2) {
 			return nil
@@ -311,16 +349,19 @@
 	if t.timer != nil {
 		t.timer.Stop()
 		t.timer = nil
-		j.attempts, j.breaks = j.attempts+t.runs, j.breaks+t.breaks
-		if t.runs > 0 {
-			j.mayHaveRun = true
-			if j.plain() {
-				t.dispatcher.countBegun(j)
-			}
+		j.breaks += t.breaks
+		for _, id := range t.ran {
+			j.markRun(id)
+			j.excluded[id] = j.excluded[id] || t.job.excluded[id]
+		}
+		if len(t.ran) > 0 && j.plain() {
+			t.dispatcher.countBegun(j)
 		}
 		if t.replacement != nil {
 			j.adopt(t.replacement)
-			delete(j.excluded, t.job.current.ID)
+		}
+		if t.givenUp {
+			j.silent = append(j.silent, t.job.current.ID)
 		}
 	}
 	return t.givenUp
@@ -357,6 +398,17 @@
 	return d.RetryBudgets.Retry(j.group.Name)
 }
 
+// readmitSilent makes the targets that were left for silence eligible again. It returns false if
+// there are none.
+func (j *job) readmitSilent() bool {
+	found := len(j.silent) > 0
+	for _, id := range j.silent {
+		delete(j.excluded, id)
+	}
+	j.silent = nil
+	return found
+}
+
 // settle releases what is reserved for further attempts of a request that has ended.
 func (d *Dispatcher) settle(j *job) {
 	if j.replacement != nil {
--- a/coordination/fleetdispatcher/send.go
+++ b/coordination/fleetdispatcher/send.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,7 +77,7 @@
 	if j.replacement != nil {
 		return retry
 	}
-	if mayHaveRun && (!j.idempotent() || j.attempts >= j.rule.Attempts) {
+	if mayHaveRun && (!j.idempotent() || len(j.ran) >= j.rule.Attempts && !j.mayReturn()) {
 		return finished
 	}
 	if !d.takeRetry(j) {
@@ -115,6 +116,9 @@
 		return radishspoke.Instance{}, fail
 	}
 	t, err := d.Router.PickPlain(j.group.Name, j.selection())
+	if err != nil && j.readmitSilent() {
+		t, err = d.Router.PickPlain(j.group.Name, j.selection())
+	}
 	if err != nil && j.software != "" {
 		return t, d.noVersion(j)
 	}
@@ -146,14 +150,11 @@
 		sent := d.Clock.Now()
 		r, err := d.send(attemptCtx, j, t, platform.TargetHeader{})
 		if err != nil {
-			mayHaveRun := d.plainNotAnswered(attemptCtx, j, t, sent, err, timer)
-			if mayHaveRun {
-				d.countBegun(j)
-			}
-			return d.decide(ctx, j, mayHaveRun, timer), err.Error()
+			return d.decide(ctx, j, d.plainNotAnswered(attemptCtx, j, t, sent, err, timer), timer), err.Error()
 		}
 		begun = &replacement{reply: r, sent: sent}
 	} else {
+		timer.ask()
 		defer context.AfterFunc(attemptCtx, begun.cancel)()
 		defer begun.cancel()
 	}
@@ -165,7 +166,7 @@
 		d.Router.End(t.ID, report)
 		return d.decide(ctx, j, false, timer), "target does not take the request now"
 	}
-	j.markRun()
+	j.markRun(t.ID)
 	d.countBegun(j)
 	defer func() { d.Router.End(t.ID, report) }()
 	if !r.Stamped {
@@ -212,7 +213,8 @@
 	if errors.Is(err, httpclient.ErrNotSent) {
 		return false
 	}
-	j.markRun()
+	j.markRun(t.ID)
+	d.countBegun(j)
 	d.Targets.CloseIdle(t.Address)
 	if ctx.Err() == nil {
 		d.handleBreak(j, t, sent, err)
@@ -231,9 +233,16 @@
 }
 
 // markRun records that a target may have run the request.
-func (j *job) markRun() {
+func (j *job) markRun(target string) {
 	j.mayHaveRun = true
-	j.attempts++
+	if !slices.Contains(j.ran, target) {
+		j.ran = append(slices.Clip(j.ran), target) // copies of j share the list
+	}
+}
+
+// mayReturn reports whether a target that may have run the request can be asked again.
+func (j *job) mayReturn() bool {
+	return len(j.silent) > 0 || slices.ContainsFunc(j.ran, func(id string) bool { return !j.excluded[id] })
 }
 
 // countBegun counts a request as begun, once.
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -48,6 +48,7 @@
 		}
 		begun = &replacement{reply: r, sent: sent, took: took}
 	} else {
+		timer.ask()
 		defer context.AfterFunc(attemptCtx, begun.cancel)()
 		defer begun.cancel()
 	}
@@ -62,7 +63,7 @@
 	}
 	report := plan.newReport(ctx, r, nil, took)
 	defer func() { d.Router.End(t.ID, report) }()
-	j.markRun()
+	j.markRun(t.ID)
 	defer d.Forecaster.BeginStream(j.group.Name, j.incoming.Generation.Prompt+j.incoming.Generation.Output)()
 	answered := d.Clock.Now()
 	if plan.prefillID != "" {
@@ -183,7 +184,7 @@
 	report.Inconclusive = report.Inconclusive || timer != nil && !timer.asked
 	d.Router.End(t.ID, report)
 	j.requested = true
-	j.markRun()
+	j.markRun(t.ID)
 	d.Targets.CloseIdle(t.Address)
 	if ctx.Err() == nil && !report.Silent {
 		d.handleBreak(j, t, sent, err)
