Say in the soak what a process does that still runs after its grace period

The finding did not tell whether the process was stuck in user space or in the kernel, or had exited and was not waited for.

The soak now writes into such a finding for how long the log has been silent and the states, system calls and kernel functions of all threads, and sends SIGQUIT, by which the process writes the stacks of its goroutines to its log. The state Z means that the process had exited.

Tests: TestDescribeThreads, TestExamineHang.

--- a/internal/soaker/delay.go
+++ b/internal/soaker/delay.go
@@ -1,7 +1,6 @@
 package soaker
 
 import (
-	"bytes"
 	"fmt"
 	"io/fs"
 	"os"
@@ -78,12 +77,7 @@
 }
 
 // ready reports whether a thread can run.
-func ready(files fs.FS, directory string) bool {
-	data, err := fs.ReadFile(files, path.Join(directory, "stat"))
-	// The state follows the name, which is in parentheses.
-	end := bytes.LastIndexByte(data, ')')
-	return err == nil && end >= 0 && bytes.HasPrefix(data[end+1:], []byte(" R"))
-}
+func ready(files fs.FS, directory string) bool { return threadState(files, directory) == "R" }
 
 // sumSince returns the sum of the delays recorded after t.
 func (m *delayMonitor) sumSince(t time.Time) time.Duration {
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -150,6 +150,8 @@
 		}
 	case syscall.SIGKILL:
 		p.exitRequested, p.terminating, p.disturbedAt = true, false, time.Now()
+	case syscall.SIGQUIT:
+		p.exitRequested, p.terminating = true, false
 	case syscall.SIGTERM:
 		p.exitRequested, p.terminating, p.early, p.terminatedAt = true, true, starting, time.Now()
 	case syscall.SIGSTOP:
@@ -188,7 +190,7 @@
 	disturbed := p.paused || time.Since(p.disturbedAt) < graceTime
 	p.mu.Unlock()
 	if !disturbed {
-		p.soak.recorder.addFinding("exit", "", "%s is still running after its grace period of %v", p.name, graceTime)
+		p.soak.recorder.addFinding("exit", "", "%s is still running after its grace period of %v: %s", p.name, graceTime, p.examineHang(exited))
 	}
 	p.signal(syscall.SIGCONT)
 	p.signal(syscall.SIGKILL)
