Withdraw keys beside silent targets in the soak, and count refusals by status

Beside a silent target the soak changed the configuration or stopped an entry, and withdrew a key only elsewhere, so that it met this by chance. Its summary did not tell a 503 in place of an answer from one at once, nor why streams were not resumed.

In half of the silences, one of two keys of their own is now withdrawn, and added again 0.2 to 1.5 s later. These events draw from a random source of their own, so that the other faults of a seed stay as they are; callers also use the two new keys. A finding of the check cut says when the key of its request was withdrawn. The summary has refusals and requests to resume a stream by status, the refusals of requests that a target had received, and the whole answers whose key was withdrawn meanwhile. A refused request that ran stays a finding, also with 429 and for a request that resumes a stream.

Tests: TestEvaluate (three more cases; refusals by status), TestKept, TestPlanSilences (withdrawals overlap silences).

--- a/cmd/radishsoak/main.go
+++ b/cmd/radishsoak/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -89,7 +90,7 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d streams resumed, %d not, %d answers halted, %d late beside scheduling delays, %d findings\n", seed, report.Requests, report.Served, report.Refused, report.Resumed, report.NotResumed, report.Halted, report.Delayed, len(report.Findings))
+		printSummary(seed, report)
 		if len(report.Findings) == 0 {
 			if err := os.RemoveAll(directory); err != nil {
 				return errors.Wrap(err, "remove log directory")
@@ -114,3 +115,19 @@
 	}
 	return nil
 }
+
+// printSummary prints the counts of a soak test in one line.
+func printSummary(seed uint64, r *soaker.Report) {
+	fmt.Printf("seed %d: %d requests, %d served, refused %s (%d after a target got them), %d streams resumed, %d not (attempts %s), %d answers halted, %d whole after their key was withdrawn, %d late beside scheduling delays, %d findings\n",
+		seed, r.Requests, r.Served, byStatus(r.Refused), r.RefusedLate, r.Resumed, r.NotResumed, byStatus(r.Resumptions), r.Halted, r.Kept, r.Delayed, len(r.Findings))
+}
+
+// byStatus returns the total of counts by status, followed by each of them.
+func byStatus(counts map[int]int) string {
+	total, parts := 0, ""
+	for _, status := range slices.Sorted(maps.Keys(counts)) {
+		total += counts[status]
+		parts += fmt.Sprintf(" %d:%d", status, counts[status])
+	}
+	return fmt.Sprintf("%d%s", total, parts)
+}
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -141,7 +141,7 @@
 // there was no complete response. There must be a connection.
 func (c *caller) do(k requestKind) int {
 	c.requests++
-	key := c.soak.keys[c.random.IntN(len(c.soak.keys))]
+	key := c.soak.drawKey(c.random)
 	id := fmt.Sprintf("%s-%s-%d", key, c.name, c.requests)
 	bad := k.path == badPrefix && c.soak.badRequest.draw(c.random)
 	if bad {
@@ -151,8 +151,8 @@
 	team, _ := teamOf(id)
 	budget := time.Duration(600+c.random.IntN(1400)) * time.Millisecond
 	abandons := c.random.Float64() < abandonRate
-	q := requestRecord{id: id, team: team, key: key, entry: c.entry.name, maxRuns: k.maxRuns}
 	began := time.Now()
+	q := requestRecord{id: id, team: team, key: key, entry: c.entry.name, sent: began, maxRuns: k.maxRuns}
 	limit := budget + budgetSlack
 	if abandons {
 		limit = time.Duration(c.random.IntN(40)) * time.Millisecond
@@ -179,6 +179,7 @@
 	if err != nil || r.Close {
 		c.disconnect()
 	}
+	q.complete = err == nil
 	c.soak.recorder.addRequest(q)
 	if q.status == http.StatusUnauthorized && q.fromEntry {
 		c.soak.checkRefusedKey(q, entry, began)
@@ -233,8 +234,8 @@
 			continue
 		}
 		a := attempt{id: fmt.Sprintf("%s-r%d", stream, n), resumes: stream, after: last}
-		q.id, q.entry, q.status = a.id, c.entry.name, 0
 		began, entry := time.Now(), c.entry
+		q.id, q.entry, q.sent, q.status, q.fromEntry, q.resumes = a.id, c.entry.name, began, 0, false, true
 		_ = c.conn.SetDeadline(deadline.Add(budgetSlack)) // can't fail on an open connection
 		c.limit = time.Time{}
 		err := c.send(k, a, q.key, time.Until(deadline), false)
@@ -247,6 +248,7 @@
 			q.status, q.fromEntry = r.StatusCode, !platform.DecodeAnswer(r.StatusCode, r.Header).Stamped
 			body, err = io.ReadAll(r.Body)
 		}
+		q.complete = err == nil
 		rec.addRequest(q)
 		c.checkCut(k, q, entry, began, deadline.Sub(began), err)
 		if q.status != http.StatusOK {
--- a/internal/soaker/recorder.go
+++ b/internal/soaker/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -56,26 +57,37 @@
 // requestRecord is a request and its outcome, as seen by its caller.
 type requestRecord struct {
 	id, team, key, entry string
+	sent                 time.Time
 	maxRuns              int  // maximum number of executions
 	status               int  // HTTP status; 0 if no response header was received
 	fromEntry            bool // the entry made the response, not a target
+	complete             bool // the response is complete
+	resumes              bool // the request resumes a stream
 }
 
 // recorder records the requests of callers, their executions by targets, and the
 // findings. It is safe for concurrent use.
 type recorder struct {
-	mu         sync.Mutex
-	executions map[string][]execution // by request ID
-	requests   []requestRecord
-	withdrawn  map[string]time.Time // withdrawn keys and when they were withdrawn
-	findings   []Finding
-	refused    int // responses that report that the request was not run
-	served     int // responses with status 200, also if the body was incomplete
-	delayed    int // requests and exits that were late by scheduling delays
+	mu          sync.Mutex
+	executions  map[string][]execution // by request ID
+	arrived     map[string]bool        // by ID, requests for an answer that a target received
+	requests    []requestRecord
+	withdrawn   map[string]time.Time // withdrawn keys and when they were withdrawn
+	withdrawals map[string]time.Time // last withdrawal of a key, also of one that is valid again
+	findings    []Finding
+	refused     map[int]int // by status, responses that report that the request was not run
+	refusedLate int         // those of them whose request a target had received
+	resumptions map[int]int // by status, requests that resume a stream
+	served      int         // responses with status 200, also if the body was incomplete
+	kept        int         // complete responses whose key was withdrawn after their request had been sent
+	delayed     int         // requests and exits that were late by scheduling delays
 }
 
 func newRecorder() *recorder {
-	return &recorder{executions: map[string][]execution{}, withdrawn: map[string]time.Time{}}
+	return &recorder{
+		executions: map[string][]execution{}, arrived: map[string]bool{}, withdrawn: map[string]time.Time{}, withdrawals: map[string]time.Time{},
+		refused: map[int]int{}, resumptions: map[int]int{},
+	}
 }
 
 // addFinding adds a finding of the named check. The request may be empty.
@@ -99,10 +111,30 @@
 	r.executions[id] = append(r.executions[id], execution{target, time.Now()})
 }
 
+// addArrival records that a target has received a request for an answer.
+func (r *recorder) addArrival(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrived[id] = true
+}
+
+// addRequest records a request whose response has ended.
 func (r *recorder) addRequest(q requestRecord) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.requests = append(r.requests, q)
+	if q.complete && q.status == http.StatusOK && r.withdrawals[q.key].After(q.sent) {
+		r.kept++
+	}
+}
+
+// withdrawnAfter returns how long after the time sent a key was withdrawn, also if it is valid again,
+// and false if it was not.
+func (r *recorder) withdrawnAfter(key string, sent time.Time) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	after := r.withdrawals[key].Sub(sent)
+	return after, after > 0
 }
 
 // setWithdrawn records that a key is withdrawn from now on, or valid again.
@@ -111,6 +143,7 @@
 	defer r.mu.Unlock()
 	if withdrawn {
 		r.withdrawn[key] = time.Now()
+		r.withdrawals[key] = r.withdrawn[key]
 	} else {
 		delete(r.withdrawn, key)
 	}
@@ -134,8 +167,8 @@
 var notRunStatuses = map[int]bool{400: true, 401: true, 404: true, 408: true, 413: true, 421: true, 429: true, 503: true}
 
 // evaluate compares the responses that callers received with the recorded
-// executions, and counts the served and the refused requests. It returns all
-// findings, including those added before. It must be called only once.
+// executions, and counts the served and the refused requests and those that resume streams.
+// It returns all findings, including those added before. It must be called only once.
 func (r *recorder) evaluate() []Finding {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -145,8 +178,14 @@
 		if len(runs) > q.maxRuns {
 			findings = append(findings, Finding{"twice", q.id, fmt.Sprintf("request ran %d times, at %v, want at most %d", len(runs), runs, q.maxRuns)})
 		}
+		if q.resumes {
+			r.resumptions[q.status]++
+		}
 		if q.fromEntry && notRunStatuses[q.status] {
-			r.refused++
+			r.refused[q.status]++
+			if r.arrived[q.id] {
+				r.refusedLate++
+			}
 			if len(runs) > 0 {
 				findings = append(findings, Finding{"refused", q.id, fmt.Sprintf("entry %s responded with status %d, but the request ran at %v", q.entry, q.status, runs)})
 			}
--- a/internal/soaker/silence.go
+++ b/internal/soaker/silence.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -102,15 +103,24 @@
 	approachTime = 250 * time.Millisecond
 
 	maxSilencePause = time.Second // longest time between two silences of the same kind of targets
+
+	// A key that is withdrawn beside a silence is added again after a time between minWithdrawal
+	// and maxWithdrawal.
+	minWithdrawal = 200 * time.Millisecond
+	maxWithdrawal = 1500 * time.Millisecond
 )
 
 // planSilences adds the events at which targets fall silent and go on: one after the other of the
 // engines that begin as decode engines, and one plain target after the other. In some of the
-// silences, the configuration changes or an entry is stopped and started again.
+// silences, the configuration changes or an entry is stopped and started again. In half of them, a
+// key is withdrawn, and added again before or after the end of the silence. Silences of
+// engines and of plain targets overlap, and so do these withdrawals.
 func (s *Soak) planSilences(random *rand.Rand, add func(at time.Duration, apply func(), format string, args ...any)) {
 	randomDuration := func(low, high time.Duration) time.Duration {
 		return low + time.Duration(random.Int64N(int64(high-low)))
 	}
+	// The draws of the other events of a seed must not depend on the keys.
+	withdrawals := rand.New(rand.NewPCG(s.settings.Seed, 8))
 	engines := min(s.settings.Engines, len(s.targets))
 	// The others begin as prefill engines, which send no answers to callers.
 	for _, targets := range [][]*target{s.targets[(engines+1)/2 : engines], s.targets[engines:]} {
@@ -130,12 +140,25 @@
 			case 1:
 				add(beside, func() { e.restart(syscall.SIGTERM, 0) }, "restart %s", e.name)
 			}
+			if withdrawals.IntN(2) == 0 {
+				s.planWithdrawal(withdrawals, at, long, add)
+			}
 			at += long
 			add(at, t.silence.end, "target %s goes on", t.address)
 		}
 	}
 }
 
+// planWithdrawal adds the events of the withdrawal of a key beside a silence of the given length
+// that begins at the given time.
+func (s *Soak) planWithdrawal(random *rand.Rand, at, long time.Duration, add func(at time.Duration, apply func(), format string, args ...any)) {
+	key := s.briefKeys[random.IntN(len(s.briefKeys))]
+	at += time.Duration(random.Int64N(int64(long)))
+	add(at, func() { s.setWithdrawn(key, true) }, "withdraw key %s beside the silence", key)
+	at += minWithdrawal + time.Duration(random.Int64N(int64(maxWithdrawal-minWithdrawal)))
+	add(at, func() { s.setWithdrawn(key, false) }, "key %s is valid again", key)
+}
+
 // current returns the ID of the current instance.
 func (t *target) current() string {
 	t.mu.Lock()
@@ -175,7 +198,11 @@
 	for _, t := range c.soak.targets {
 		if c.soak.recorder.ranAt(q.id, t.current()) || t.silence.waits(q.id) {
 			if t.soundSince(began) {
-				c.soak.recorder.addFinding("cut", q.id, "entry %s ended the answer with status %d after %v of %v, though target %s is sound: %v", entry.name, q.status, elapsed, budget, t.current(), err)
+				key := ""
+				if after, ok := c.soak.recorder.withdrawnAfter(q.key, began); ok {
+					key = fmt.Sprintf(" and its key was withdrawn after %v", after)
+				}
+				c.soak.recorder.addFinding("cut", q.id, "entry %s ended the answer with status %d after %v of %v, though target %s is sound%s: %v", entry.name, q.status, elapsed, budget, t.current(), key, err)
 				return
 			}
 		}
--- a/internal/soaker/silence_test.go
+++ b/internal/soaker/silence_test.go
@@ -84,25 +84,40 @@
 }
 
 // TestPlanSilences checks that the silences of a target do not overlap, that all are over by the
-// end of the run, and that some come beside a change of the configuration and a planned stop.
+// end of the run, and that some come beside a change of the configuration, a planned stop and
+// the withdrawal of a key, which is added again.
 func TestPlanSilences(t *testing.T) {
 	c := qt.New(t)
-	s := &Soak{settings: Settings{Length: time.Minute}}
+	s := &Soak{settings: Settings{Length: time.Minute}, briefKeys: []string{"t1-k3", "t2-k3"}}
 	s.settings.setDefaults()
 	s.entries = []*process{{name: "front-1"}}
 	for i := range s.settings.Engines + plainTargets {
 		s.targets = append(s.targets, &target{soak: s, address: fmt.Sprint("target-", i)})
 	}
 	end := map[string]time.Duration{}
+	last := "" // target of the last silence
 	kinds := map[string]int{}
+	var began, withdrawn time.Duration
+	overlaps := 0 // withdrawals that begin before the last silence has ended
 	s.planSilences(rand.New(rand.NewPCG(7, 6)), func(at time.Duration, _ func(), format string, args ...any) {
 		c.Assert(at <= s.settings.Length, qt.IsTrue)
 		kinds[format]++
 		if strings.Contains(format, "falls silent") {
 			address, long := args[0].(string), args[1].(time.Duration)
+			last = address
 			c.Assert(at >= end[address], qt.IsTrue)
 			c.Assert(minSilence <= long && long < maxSilence, qt.IsTrue)
-			end[address] = at + long
+			end[address], began = at+long, at
+		}
+		if strings.Contains(format, "withdraw") {
+			c.Assert(args[0] == "t1-k3" || args[0] == "t2-k3", qt.IsTrue)
+			withdrawn = at
+			if began <= at && at < end[last] {
+				overlaps++
+			}
+		}
+		if strings.Contains(format, "valid again") {
+			c.Assert(minWithdrawal <= at-withdrawn && at-withdrawn < maxWithdrawal, qt.IsTrue)
 		}
 		if strings.Contains(format, "goes on") {
 			c.Assert(at, qt.Equals, end[args[0].(string)])
@@ -110,6 +125,9 @@
 	})
 	c.Assert(end, qt.HasLen, s.settings.Engines/2+plainTargets)
 	c.Assert(kinds["target %s falls silent for %v"], qt.Equals, kinds["target %s goes on"])
+	c.Assert(overlaps > 10, qt.IsTrue)
+	c.Assert(overlaps, qt.Equals, kinds["withdraw key %s beside the silence"])
+	c.Assert(kinds["key %s is valid again"], qt.Equals, kinds["withdraw key %s beside the silence"])
 	c.Assert(kinds["the configuration changes"] > 0 && kinds["restart %s"] > 0, qt.IsTrue)
 }
 
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -113,23 +113,31 @@
 
 	mu        sync.Mutex
 	version   int64           // of the configuration
-	keys      []string        // all keys, also withdrawn ones
+	keys      []string        // keys that the main plan withdraws, also withdrawn ones
+	briefKeys []string        // keys that are withdrawn only beside silences, also withdrawn ones
 	withdrawn map[string]bool // by key
 }
 
 // Report is the result of a soak test. Requests is the number of requests sent,
 // Served the number of those that got a response with status 200, even if its body
-// was incomplete, and Refused the number of those that an entry reported as not run.
+// was incomplete, and Refused the number of those that an entry reported as not run, by status.
+// RefusedLate is that of the refused ones that a target had received.
 // Resumed is the number of broken streams that went on when their callers asked for it, and
-// NotResumed that of those that did not. Halted is the number of answers of which a half had been
-// sent when their target fell silent. Delayed is the number of requests and exits that were late and
+// NotResumed that of those that did not. Resumptions is the number of requests to resume a stream by
+// status, which is 0 if there was no response. Halted is the number of answers of which a half had been
+// sent when their target fell silent. Kept is the number of whole answers whose key was
+// withdrawn after their request had been sent. Delayed is the number of requests and exits that were late and
 // are no findings, because the process or this program had to wait for a processor.
 type Report struct {
-	Requests, Served, Refused int
-	Resumed, NotResumed       int
-	Halted, Delayed           int
-	Findings                  []Finding
-	Directory                 string // of the logs of the processes
+	Requests, Served    int
+	Refused             map[int]int
+	RefusedLate         int
+	Resumed, NotResumed int
+	Resumptions         map[int]int
+	Halted, Kept        int
+	Delayed             int
+	Findings            []Finding
+	Directory           string // of the logs of the processes
 }
 
 // New prepares a soak test in an empty directory. It starts the store, the targets
@@ -140,7 +148,7 @@
 		settings: settings, directory: directory, store: fake.NewRowStore(), recorder: newRecorder(), lag: &lagMonitor{},
 		badPart:    &crashCheck{what: "part", allowed: 5, rate: badPartRate},
 		badRequest: &crashCheck{what: "body", allowed: 3, rate: badRate},
-		keys:       []string{"t1-k1", "t1-k2", "t2-k1", "t2-k2"}, withdrawn: map[string]bool{},
+		keys:       []string{"t1-k1", "t1-k2", "t2-k1", "t2-k2"}, briefKeys: []string{"t1-k3", "t2-k3"}, withdrawn: map[string]bool{},
 	}
 	if err := s.setUp(); err != nil {
 		s.close()
@@ -231,7 +239,7 @@
 		},
 	}
 	keys := map[string][]string{}
-	for _, key := range s.keys {
+	for _, key := range slices.Concat(s.keys, s.briefKeys) {
 		// A key and a hyphen are the start of a request ID.
 		if team, _ := teamOf(key + "-"); !s.withdrawn[key] {
 			keys[team] = append(keys[team], key)
@@ -248,6 +256,15 @@
 	s.store.Put(platform.OperatorTable, platform.ConfigurationKey, data)
 }
 
+// drawKey draws one of all keys, also withdrawn ones.
+func (s *Soak) drawKey(random *rand.Rand) string {
+	n := random.IntN(len(s.keys) + len(s.briefKeys))
+	if n < len(s.keys) {
+		return s.keys[n]
+	}
+	return s.briefKeys[n-len(s.keys)]
+}
+
 // setWithdrawn removes a key from the configuration, or adds it again. The
 // revocation time begins when the configuration without the key has been written.
 func (s *Soak) setWithdrawn(key string, withdrawn bool) {
@@ -308,7 +325,8 @@
 	monitors.Wait()
 	s.checkUsage()
 	r := &Report{Findings: slices.Concat(s.recorder.evaluate(), s.badPart.evaluate(), s.badRequest.evaluate(), s.limit.evaluate()), Directory: s.directory}
-	r.Requests, r.Served, r.Refused = len(s.recorder.requests), s.recorder.served, s.recorder.refused
+	r.Requests, r.Served, r.Refused, r.RefusedLate = len(s.recorder.requests), s.recorder.served, s.recorder.refused, s.recorder.refusedLate
+	r.Resumptions, r.Kept = s.recorder.resumptions, s.recorder.kept
 	r.Resumed, r.NotResumed = int(s.release.resumed.Load()), int(s.release.refused.Load())
 	r.Delayed = s.recorder.delayed
 	for _, t := range s.targets {
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -21,8 +21,9 @@
 	"radishspoke/transport/ticker"
 )
 
-// TestEvaluate checks that a request that ran too often, and one that ran although
-// the entry reported that it did not, are the only findings.
+// TestEvaluate checks that a request that ran too often, and those that ran although
+// the entry reported that they did not, are the only findings, and that refusals are counted by
+// status.
 func TestEvaluate(t *testing.T) {
 	c := qt.New(t)
 	r := newRecorder()
@@ -32,17 +33,27 @@
 		status    int
 		fromEntry bool
 		runs      int
+		resumes   bool
+		arrives   bool
 	}{
-		{"once", 1, 200, false, 1},
-		{"twice", 1, 200, false, 2},
-		{"repeated", 2, 200, false, 2},
-		{"refused", 1, 503, true, 1},
-		{"truly refused", 1, 503, true, 0},
-		{"refused by the target", 1, 503, false, 1}, // the response comes from the target
-		{"unknown", 1, 502, true, 1},
-		{"cut", 1, 0, false, 1},
+		{"once", 1, 200, false, 1, false, true},
+		{"twice", 1, 200, false, 2, false, true},
+		{"repeated", 2, 200, false, 2, false, true},
+		{"refused", 1, 503, true, 1, false, true},
+		{"refused as too many", 1, 429, true, 1, false, true},
+		{"resumption refused", 2, 503, true, 1, true, true},
+		{"truly refused", 1, 503, true, 0, false, false},
+		{"truly refused by all targets", 1, 503, true, 0, false, true},
+		{"resumption truly refused", 2, 429, true, 0, true, false},
+		{"resumed", 2, 200, false, 1, true, true},
+		{"refused by the target", 1, 503, false, 1, false, true}, // the response comes from the target
+		{"unknown", 1, 502, true, 1, false, true},
+		{"cut", 1, 0, false, 1, false, true},
 	} {
-		r.addRequest(requestRecord{id: test.id, maxRuns: test.maxRuns, status: test.status, fromEntry: test.fromEntry})
+		r.addRequest(requestRecord{id: test.id, maxRuns: test.maxRuns, status: test.status, fromEntry: test.fromEntry, resumes: test.resumes})
+		if test.arrives {
+			r.addArrival(test.id)
+		}
 		for range test.runs {
 			r.addExecution(test.id, "d1")
 		}
@@ -51,9 +62,37 @@
 	for _, f := range r.evaluate() {
 		found = append(found, f.Check+" "+f.Request)
 	}
-	c.Assert(found, qt.DeepEquals, []string{"twice twice", "refused refused"})
-	c.Assert(r.served, qt.Equals, 3)
-	c.Assert(r.refused, qt.Equals, 2)
+	c.Assert(found, qt.DeepEquals, []string{"twice twice", "refused refused", "refused refused as too many", "refused resumption refused"})
+	c.Assert(r.served, qt.Equals, 4)
+	c.Assert(r.refused, qt.DeepEquals, map[int]int{503: 4, 429: 2})
+	c.Assert(r.refusedLate, qt.Equals, 4)
+	c.Assert(r.resumptions, qt.DeepEquals, map[int]int{200: 1, 503: 1, 429: 1})
+}
+
+// TestKept checks that only complete answers count whose key was withdrawn after their request
+// had been sent.
+func TestKept(t *testing.T) {
+	c := qt.New(t)
+	r := newRecorder()
+	sent := time.Now()
+	r.setWithdrawn("t1-k1", true)
+	r.setWithdrawn("t1-k1", false)
+	after, ok := r.withdrawnAfter("t1-k1", sent)
+	c.Assert(ok && after > 0, qt.IsTrue)
+	_, ok = r.withdrawnAfter("t1-k1", time.Now())
+	c.Assert(ok, qt.IsFalse)
+	_, ok = r.withdrawnAfter("t1-k2", sent)
+	c.Assert(ok, qt.IsFalse)
+	for _, q := range []requestRecord{
+		{key: "t1-k1", sent: sent, status: 200, complete: true},
+		{key: "t1-k1", sent: sent, status: 200},
+		{key: "t1-k1", sent: sent, status: 401, complete: true},
+		{key: "t1-k1", sent: time.Now(), status: 200, complete: true},
+		{key: "t1-k2", sent: sent, status: 200, complete: true},
+	} {
+		r.addRequest(q)
+	}
+	c.Assert(r.kept, qt.Equals, 1)
 }
 
 // TestCheckResponse checks that a response is a finding if it belongs to another
@@ -137,7 +176,7 @@
 // give different ones, and that no event comes after the end of the run.
 func TestPlan(t *testing.T) {
 	c := qt.New(t)
-	s := &Soak{settings: Settings{Length: 20 * time.Second}, keys: []string{"t1-k1"}}
+	s := &Soak{settings: Settings{Length: 20 * time.Second}, keys: []string{"t1-k1"}, briefKeys: []string{"t1-k3"}}
 	s.settings.setDefaults()
 	for i := range 3 {
 		s.entries = append(s.entries, &process{soak: s, name: fmt.Sprint("front-", i)})
--- a/internal/soaker/target.go
+++ b/internal/soaker/target.go
@@ -137,6 +137,9 @@
 		t.silence.await(nil)
 		return t.handle(id, r, body, 0)
 	}
+	if h, err := platform.DecodeReceivedHeader(r.Header); err == nil && !h.PrefillOnly {
+		t.soak.recorder.addArrival(h.ID)
+	}
 	limit, ok := t.soak.limit.recordArrival(t, id, platform.RequestID(r.Header))
 	a := t.handle(id, r, body, t.silence.await(r.Header))
 	if a == nil || !ok {
