--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -94,6 +94,7 @@
 	Unpick(target string)
 	Begin(target string)
 	End(target string, r fleetrouter.Report)
+	Silence(target string)
 }
 
 // PromptQueue orders the prompts that wait for an engine. See
@@ -285,10 +286,16 @@
 	}
 	d.RetryBudgets.Request(j.group.Name)
 	defer d.settle(j)
-	if j.group.Engine != nil && j.incoming.Generation != nil {
-		return d.serveGeneration(ctx, j, aw)
+	send := d.serveGeneration
+	if j.plain() {
+		send = d.servePlain
 	}
-	return d.servePlain(ctx, j, aw)
+	fail := send(ctx, j, aw)
+	if fail != nil && j.failed != nil && !aw.started {
+		aw.writeKept(j.failed)
+		return nil
+	}
+	return fail
 }
 
 // admit checks a request and sets the fields of its job. It returns a failure if
@@ -361,9 +368,9 @@
 
 // checkKey returns a failure if the key of a request may no longer start
 // requests. It is called before each send because the key may have been withdrawn
-// while the request waited.
+// while the request waited. A stream that has begun may go on.
 func (d *Dispatcher) checkKey(j *job) *radishspoke.Failure {
-	if j.key.Hash == "" {
+	if j.key.Hash == "" || j.firstEvent > 0 {
 		return nil
 	}
 	err := d.Configurations.Configuration().Keys.Valid(j.key)
