Tell a process that still runs from one that exited while the soak test was delayed

The soak waits for an exit and for the end of the grace period in one select. If the program itself stands still for seconds, both are due when it goes on, and a process that exited long before may be found still running.

The finding now says by how much the soak test was delayed since SIGTERM, and whether the process had exited when it was examined. It stays a finding.

Test: TestExamineHang.

--- a/internal/soaker/hang.go
+++ b/internal/soaker/hang.go
@@ -16,16 +16,23 @@
 // after SIGQUIT.
 const stackTime = 2 * time.Second
 
-// examineHang returns what tells why the process has not exited: what its threads do, for how long
-// it has written nothing to its log, and whether it exits after SIGQUIT. A process that does has
-// written the stacks of its goroutines to its log. The channel is closed when the process has exited.
-func (p *process) examineHang(exited <-chan struct{}) string {
+// examineHang returns what tells why the process has not exited since the time since: for how long
+// this program was delayed and the process has written nothing to its log, what its threads do,
+// and whether it exits after SIGQUIT. A process that does has written the stacks of its goroutines to
+// its log. The channel is closed when the process has exited.
+func (p *process) examineHang(since time.Time, exited <-chan struct{}) string {
 	p.mu.Lock()
 	command := p.command
 	p.mu.Unlock()
 	if command == nil {
 		return "not started"
 	}
+	delay := fmt.Sprintf("the soak test was delayed by up to %v", p.soak.lag.maxSince(since).Round(time.Millisecond))
+	select {
+	case <-exited:
+		return delay + "; exited meanwhile"
+	default:
+	}
 	silent := "no log"
 	if i, err := os.Stat(p.logPath); err == nil {
 		silent = fmt.Sprintf("nothing logged for %v", time.Since(i.ModTime()).Round(time.Millisecond))
@@ -38,7 +45,7 @@
 	case <-time.After(stackTime):
 		after = "still running after SIGQUIT: " + describeThreads(os.DirFS("/proc"), command.Process.Pid)
 	}
-	return strings.Join([]string{silent, threads, after}, "; ")
+	return strings.Join([]string{delay, silent, threads, after}, "; ")
 }
 
 // describeThreads returns the state of a process and of each of its threads, with the system call and
--- a/internal/soaker/hang_test.go
+++ b/internal/soaker/hang_test.go
@@ -33,18 +33,21 @@
 // exit after SIGQUIT either, and that the first one can write its stacks to its log.
 func TestExamineHang(t *testing.T) {
 	for _, test := range []struct{ name, trap, want string }{
-		{"hangs", "echo stacks; exit 2", "nothing logged for .*; process .*, 1 threads, .*; exited after SIGQUIT"},
-		{"deaf", "echo deaf", "nothing logged for .*; process .*; still running after SIGQUIT: process .*"},
+		{"hangs", "echo stacks; exit 2", "the soak test was delayed by up to 2s; nothing logged for .*; process .*, 1 threads, .*; exited after SIGQUIT"},
+		{"deaf", "echo deaf", "the soak test was delayed by up to 2s; nothing logged for .*; process .*; still running after SIGQUIT: process .*"},
 	} {
 		c := qt.New(t)
 		p := startScript(c, "trap '' TERM\ntrap '"+test.trap+"' QUIT\necho started\nwhile :; do sleep 0.01; done\n")
 		for p.logSize() == 0 {
 			time.Sleep(time.Millisecond)
 		}
+		began := time.Now()
+		p.soak.lag.samples = []lagSample{{began, time.Minute}, {began.Add(1), 2 * time.Second}} // the first is before
 		p.signal(syscall.SIGTERM)
-		c.Assert(p.examineHang(p.exited), qt.Matches, test.want, qt.Commentf("%s", test.name))
+		c.Assert(p.examineHang(began, p.exited), qt.Matches, test.want, qt.Commentf("%s", test.name))
 		p.signal(syscall.SIGKILL)
 		<-p.exited
+		c.Assert(p.examineHang(began, p.exited), qt.Equals, "the soak test was delayed by up to 2s; exited meanwhile")
 		log, err := os.ReadFile(p.logPath)
 		c.Assert(err, qt.IsNil)
 		c.Assert(strings.Contains(string(log), "stacks") || strings.Contains(string(log), "deaf"), qt.IsTrue)
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -190,7 +190,7 @@
 	disturbed := p.paused || time.Since(p.disturbedAt) < graceTime
 	p.mu.Unlock()
 	if !disturbed {
-		p.soak.recorder.addFinding("exit", "", "%s is still running after its grace period of %v: %s", p.name, graceTime, p.examineHang(exited))
+		p.soak.recorder.addFinding("exit", "", "%s is still running after its grace period of %v: %s", p.name, graceTime, p.examineHang(began, exited))
 	}
 	p.signal(syscall.SIGCONT)
 	p.signal(syscall.SIGKILL)
--- a/internal/soaker/process_test.go
+++ b/internal/soaker/process_test.go
@@ -17,7 +17,7 @@
 	directory := c.TempDir()
 	program := filepath.Join(directory, "program")
 	c.Assert(os.WriteFile(program, []byte("#!/bin/sh\n"+script), 0o700), qt.IsNil)
-	s := &Soak{settings: Settings{Program: program}, directory: directory, recorder: newRecorder()}
+	s := &Soak{settings: Settings{Program: program}, directory: directory, recorder: newRecorder(), lag: &lagMonitor{}}
 	p := &process{soak: s, name: "front-1", logPath: filepath.Join(directory, "front-1.log")}
 	c.Assert(p.start(), qt.IsNil)
 	return p
