Count the streams that callers take up in vain by reason

Of the streams that callers took up again and that were refused, only those without a known version or a target of it were counted.

streams_resumed_total now has "limited" for the rate, and "failed" for all other reasons. TestResumptionThatMeetsNoRoom checks the first, that a stream for which the rate has no room in time is refused at once, and that a caller who leaves, or a stop of the process, ends the wait.

--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -276,6 +276,7 @@
 		d.logRequest(j, aw.status, "broken off: "+fail.Message)
 		transport.Abort(w, r)
 	default:
+		d.recordRefusal(j, fail)
 		d.writeFailure(w, j, fail)
 	}
 }
--- a/coordination/fleetdispatcher/resumption.go
+++ b/coordination/fleetdispatcher/resumption.go
@@ -115,6 +115,18 @@
 		"target", j.current.ID, "software", j.current.Software, "before", j.software, "caller", byCaller)
 }
 
+// recordRefusal records that a request that resumes a stream ends with a failure, unless its
+// software version was the reason, which is recorded where it is found.
+func (d *Dispatcher) recordRefusal(j *job, fail *radishspoke.Failure) {
+	switch {
+	case !j.resumesStream() || fail.Code == "stream":
+	case fail.Code == "rate":
+		d.Recorder.ObserveResumption(true, "limited")
+	default:
+		d.Recorder.ObserveResumption(true, "failed")
+	}
+}
+
 // noVersion returns the failure of a request that no target of the software version can
 // resume.
 func (d *Dispatcher) noVersion(j *job) *radishspoke.Failure {
--- a/coordination/fleetdispatcher/resumption_test.go
+++ b/coordination/fleetdispatcher/resumption_test.go
@@ -1,6 +1,7 @@
 package fleetdispatcher
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -10,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"radishspoke"
 	"radishspoke/coordination/fleetlimiter"
@@ -168,3 +170,69 @@
 		})
 	}
 }
+
+// resumptionWords keeps the words with which resumptions are recorded.
+type resumptionWords struct {
+	Recorder
+	words []string
+}
+
+func (r *resumptionWords) ObserveResumption(_ bool, word string) { r.words = append(r.words, word) }
+
+// TestResumptionThatMeetsNoRoom guards against callers that are held, or get an untrue answer,
+// where the rate of their team leaves no room for their stream in time (issue 44).
+func TestResumptionThatMeetsNoRoom(t *testing.T) {
+	errLeft := errors.New("caller left")
+	for _, k := range []struct {
+		name   string
+		rate   float64 // tokens a second
+		ends   error   // of the request, after 100 ms; nil if it does not end
+		status int     // 0 if nothing is written
+		took   time.Duration
+		word   string
+	}{
+		{"refused at once", streamTokens / 10, nil, http.StatusTooManyRequests, 0, "limited"},
+		{"caller leaves", streamTokens, errLeft, 0, 100 * time.Millisecond, ""},
+		{"process stops", streamTokens, ErrInterrupted, http.StatusServiceUnavailable, 100 * time.Millisecond, ""},
+		{"goes on", streamTokens, nil, http.StatusOK, time.Second, "same"},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				n := &memoryNetwork{targets: map[string]answerFunc{"a:1": goOn}}
+				d := newLimitedDispatcher(n, k.rate, 1)
+				time.Sleep(resumptionMargin + 10*time.Second) // no other version was listed in the life of a stream
+				d.RateLimiter = fleetlimiter.New(fleetlimiter.Settings{}, ticker.NewMonotonicClock(), func() []fleetlimiter.Peer { return nil })
+				team := d.Configurations.Configuration().Table.Teams[0]
+				d.RateLimiter.Admit(team, 0) // opens the account
+				time.Sleep(10 * time.Millisecond)
+				_, ok := d.RateLimiter.Wait(t.Context(), team, streamTokens, 0)
+				c.Assert(ok, qt.IsTrue)
+				words := &resumptionWords{Recorder: d.Recorder}
+				d.Recorder = words
+				ctx, cancel := context.WithCancelCause(t.Context())
+				if k.ends != nil {
+					time.AfterFunc(100*time.Millisecond, func() { cancel(k.ends) })
+				}
+				defer cancel(nil)
+				began, w := time.Now(), httptest.NewRecorder()
+				w.Code = 0
+				func() {
+					defer func() {
+						if v := recover(); v != nil && v != http.ErrAbortHandler {
+							panic(v)
+						}
+					}()
+					d.ServeHTTP(w, streamRequest(c, "again", "before").WithContext(ctx))
+				}()
+				took := time.Since(began)
+				c.Check(w.Code, qt.Equals, k.status, qt.Commentf("%s", w.Body))
+				c.Check(took >= k.took && took <= k.took+50*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+				if k.word != "" {
+					c.Check(words.words, qt.DeepEquals, []string{k.word})
+				}
+				d.Targets.CloseIdle("a:1")
+			})
+		})
+	}
+}
--- a/coordination/fleetlimiter/doc.go
+++ b/coordination/fleetlimiter/doc.go
@@ -15,6 +15,10 @@
 // last window are summed besides. The depth of the bucket is what may be charged
 // beyond the limit in the window that spans a restart of all entries.
 //
+// A request that its caller cannot make later, because it resumes a stream, waits for
+// the rate at its entry. Such requests are admitted in order and before all others. They
+// are charged when they are admitted, so that they change nothing in the limit.
+//
 // A bucket starts empty, or at the level of a peer that was running long before,
 // so that what was charged before the start cannot be charged again. A peer that
 // is silent is assumed to charge its equal share of the rate. As every entry
