Count the refusals of streams that are taken up in the soak by reason

A run of the soak told how many streams were resumed and how many were not, but not why. It now prints the attempts that failed, by status and code.

--- a/cmd/radishsoak/main.go
+++ b/cmd/radishsoak/main.go
@@ -89,7 +89,7 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d streams resumed, %d not, %d answers halted, %d late beside scheduling delays, %d findings\n", seed, report.Requests, report.Served, report.Refused, report.Resumed, report.NotResumed, report.Halted, report.Delayed, len(report.Findings))
+		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d streams resumed, %d not %v, %d answers halted, %d late beside scheduling delays, %d findings\n", seed, report.Requests, report.Served, report.Refused, report.Resumed, report.NotResumed, report.Refusals, report.Halted, report.Delayed, len(report.Findings))
 		if len(report.Findings) == 0 {
 			if err := os.RemoveAll(directory); err != nil {
 				return errors.Wrap(err, "remove log directory")
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -250,6 +250,7 @@
 		rec.addRequest(q)
 		c.checkCut(k, q, entry, began, deadline.Sub(began), err)
 		if q.status != http.StatusOK {
+			release.recordRefusal(q.status, body)
 			continue
 		}
 		version, newest, fault := checkStream(stream, last, string(body))
--- a/internal/soaker/release.go
+++ b/internal/soaker/release.go
@@ -1,7 +1,9 @@
 package soaker
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -19,6 +21,29 @@
 	number atomic.Int64
 
 	resumed, refused atomic.Int64
+
+	mu       sync.Mutex
+	refusals map[string]int // failed attempts to resume a stream, by status and code
+}
+
+// recordRefusal counts a failed attempt to resume a stream. The status is 0 if there was no
+// answer.
+func (r *release) recordRefusal(status int, body []byte) {
+	var fail struct{ Code string }
+	_ = json.Unmarshal(body, &fail) // failures of targets have no code
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refusals == nil {
+		r.refusals = map[string]int{}
+	}
+	r.refusals[strings.TrimSpace(fmt.Sprint(status, " ", fail.Code))]++
+}
+
+// refusalCounts returns the numbers of failed attempts to resume a stream.
+func (r *release) refusalCounts() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.refusals)
 }
 
 // version returns the version of a target that starts now.
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -121,12 +121,14 @@
 // Served the number of those that got a response with status 200, even if its body
 // was incomplete, and Refused the number of those that an entry reported as not run.
 // Resumed is the number of broken streams that went on when their callers asked for it, and
-// NotResumed that of those that did not. Halted is the number of answers of which a half had been
+// NotResumed that of those that did not. Refusals has the numbers of attempts to resume one that
+// failed, by status, which is 0 without an answer, and code. Halted is the number of answers of which a half had been
 // sent when their target fell silent. Delayed is the number of requests and exits that were late and
 // are no findings, because the process or this program had to wait for a processor.
 type Report struct {
 	Requests, Served, Refused int
 	Resumed, NotResumed       int
+	Refusals                  map[string]int
 	Halted, Delayed           int
 	Findings                  []Finding
 	Directory                 string // of the logs of the processes
@@ -310,6 +312,7 @@
 	r := &Report{Findings: slices.Concat(s.recorder.evaluate(), s.badPart.evaluate(), s.badRequest.evaluate(), s.limit.evaluate()), Directory: s.directory}
 	r.Requests, r.Served, r.Refused = len(s.recorder.requests), s.recorder.served, s.recorder.refused
 	r.Resumed, r.NotResumed = int(s.release.resumed.Load()), int(s.release.refused.Load())
+	r.Refusals = s.release.refusalCounts()
 	r.Delayed = s.recorder.delayed
 	for _, t := range s.targets {
 		r.Halted += int(t.silence.halted.Load())
