Check the limit of a team while requests wait for its rate

Streams that are taken up again wait at several entries at once, after a restart of all of them too. It fails if Wait does not look at what is left.

--- a/coordination/fleetlimiter/wait_test.go
+++ b/coordination/fleetlimiter/wait_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -61,3 +63,55 @@
 		c.Check(ok, qt.IsTrue, qt.Commentf("there is room at once"))
 	})
 }
+
+// TestWaitKeepsLimit guards against teams that get more than their limit, because requests wait
+// for the rate at several entries, after a restart of all entries too (issue 44).
+func TestWaitKeepsLimit(t *testing.T) {
+	for _, entries := range []int{1, 5} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFleetOf(entries, windowSettings, windowTeam)
+				r := rand.New(rand.NewPCG(44, 1))
+				demand := 4 * windowLimit / window.Seconds()
+				var mu sync.Mutex
+				var callers sync.WaitGroup
+				waited, admitted, now := 0, 0, 0.0
+				for n := range 40 * int(time.Second/tick) {
+					f.run(tick, demand, 9000, r)
+					if n%(15*int(time.Second/tick)) == 0 { // the entries restart, and streams are taken up
+						for i := range f.entries {
+							f.start(i)
+						}
+						for range 200 {
+							e := f.entries[r.IntN(entries)].limiter
+							size := 2000 + 10_000*r.Float64()
+							waited++
+							callers.Go(func() {
+								time.Sleep(tick / 2)
+								if _, ok := e.Wait(t.Context(), windowTeam, size, 1800*time.Millisecond); ok {
+									mu.Lock()
+									defer mu.Unlock()
+									admitted, now = admitted+1, now+size
+								}
+							})
+						}
+					}
+					for _, e := range f.entries {
+						e.limiter.Totals() // the clock has advanced for those that wait
+					}
+					time.Sleep(tick)
+					synctest.Wait()
+					mu.Lock()
+					f.charged[len(f.charged)-1] += now
+					now = 0
+					mu.Unlock()
+				}
+				callers.Wait()
+				c.Check(f.maxCharged() <= windowLimit+windowExcess, qt.IsTrue, qt.Commentf("%.0f of %.0f and %.0f", f.maxCharged(), windowLimit, windowExcess))
+				c.Check(admitted > 0, qt.IsTrue)
+				t.Logf("%d of %d that waited were admitted", admitted, waited)
+			})
+		})
+	}
+}
