--- a/state/fleetwatcher/changes.go
+++ b/state/fleetwatcher/changes.go
@@ -109,8 +109,8 @@
 			delete(w.seen, c.Instance.ID)
 		case !c.Gone:
 			w.seen[c.Instance.ID] = now
-			if i := c.Instance; !ok || old.Leaving != i.Leaving || old.Role != i.Role {
-				w.log.Info("target listed", "target", i.ID, "address", i.Address, "zone", i.Zone, "role", i.Role, "leaving", i.Leaving)
+			if i := c.Instance; !ok || old.Leaving != i.Leaving || old.Role != i.Role || old.Software != i.Software {
+				w.log.Info("target listed", "target", i.ID, "address", i.Address, "zone", i.Zone, "role", i.Role, "software", i.Software, "leaving", i.Leaving)
 			}
 		}
 		w.addChange(c, now)
