--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -124,7 +124,8 @@
 // RefusedLate is that of the refused ones that a target had received.
 // Resumed is the number of broken streams that went on when their callers asked for it, and
 // NotResumed that of those that did not. Resumptions is the number of requests to resume a stream by
-// status, which is 0 if there was no response. Halted is the number of answers of which a half had been
+// status, which is 0 if there was no response, and Refusals that of those that failed, by status and
+// code. Halted is the number of answers of which a half had been
 // sent when their target fell silent. Kept is the number of whole answers whose key was
 // withdrawn after their request had been sent. Delayed is the number of requests and exits that were late and
 // are no findings, because the process or this program had to wait for a processor.
@@ -134,6 +135,7 @@
 	RefusedLate         int
 	Resumed, NotResumed int
 	Resumptions         map[int]int
+	Refusals            map[string]int
 	Halted, Kept        int
 	Delayed             int
 	Findings            []Finding
@@ -328,6 +330,7 @@
 	r.Requests, r.Served, r.Refused, r.RefusedLate = len(s.recorder.requests), s.recorder.served, s.recorder.refused, s.recorder.refusedLate
 	r.Resumptions, r.Kept = s.recorder.resumptions, s.recorder.kept
 	r.Resumed, r.NotResumed = int(s.release.resumed.Load()), int(s.release.refused.Load())
+	r.Refusals = s.release.refusalCounts()
 	r.Delayed = s.recorder.delayed
 	for _, t := range s.targets {
 		r.Halted += int(t.silence.halted.Load())
