--- a/coordination/fleetdispatcher/replacement.go
+++ b/coordination/fleetdispatcher/replacement.go
@@ -76,7 +76,7 @@
 	case err != nil:
 		d.streamNotOpened(ctx, j, p, nil, out.sent, err)
 	case out.reply.NotRun:
-		d.recordRefusal(ctx, j, p, out.reply, out.took)
+		d.handleRefusal(ctx, j, p, out.reply, out.took)
 		out.reply.Close()
 	case !out.reply.Stamped || !j.accepts(out.reply.Status):
 		d.Router.End(t.ID, fleetrouter.Report{Failed: true})
--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -58,7 +58,7 @@
 	plan.end(took)
 	defer r.Close()
 	if r.NotRun {
-		d.recordRefusal(ctx, j, plan, r, took)
+		d.handleRefusal(ctx, j, plan, r, took)
 		return d.decide(ctx, j, false, timer), "engine does not take the request now"
 	}
 	report := plan.newReport(ctx, r, nil, took)
@@ -130,9 +130,9 @@
 	return r, d.Clock.Now() - start, err
 }
 
-// recordRefusal handles the answer of a decode engine that does not take a request. The KV cache
+// handleRefusal handles the answer of a decode engine that does not take a request. The KV cache
 // is kept if the engine has not looked at it.
-func (d *Dispatcher) recordRefusal(ctx context.Context, j *job, plan prefillPlan, r *reply, took time.Duration) {
+func (d *Dispatcher) handleRefusal(ctx context.Context, j *job, plan prefillPlan, r *reply, took time.Duration) {
 	d.Router.End(plan.decoder.ID, plan.newReport(ctx, r, nil, took))
 	if r.Status == http.StatusMisdirectedRequest && plan.handle != nil {
 		// The engine has changed its role.
