Let a target that was asked answer first although a sidecar reports progress

That ended the search, and the engine of the sidecar's order refused: 502. Progress that is no answer now ends a search only until a target has been asked.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -152,7 +152,8 @@
 }
 
 // reset records progress of the attempt for j, and sets the time that may pass without
-// further progress.
+// further progress. A target that has been asked meanwhile may still answer first, unless hold was
+// called before.
 func (t *attemptTimer) reset(j *job, limit time.Duration) {
 	if t == nil {
 		return
@@ -162,7 +163,9 @@
 	if t.timer == nil || t.replacement != nil {
 		return
 	}
-	t.abandon()
+	if t.search != nil && t.search.target == "" {
+		t.abandon()
+	}
 	t.held, t.since, t.limit = false, t.dispatcher.Clock.Now(), limit
 	t.job.software, t.job.firstEvent, t.job.startBy, t.job.incoming.LastEvent = j.software, j.firstEvent, j.startBy, j.incoming.LastEvent
 	t.timer.Reset(limit)
