Test the end of requests for which two targets are asked

The router counts each request as ended once, whatever two targets do with it, and both targets notice within 100 ms that the caller has left; the retry of the second one stays taken. Both tests pass without a change.

--- a/coordination/fleetdispatcher/replacement_test.go
+++ b/coordination/fleetdispatcher/replacement_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"radishspoke"
+	"radishspoke/coordination/fleetrouter"
 	"radishspoke/coordination/quarantiner"
 	"radishspoke/coordination/relayer"
 	"radishspoke/platform"
@@ -363,6 +365,61 @@
 	}
 }
 
+// balancedRouter counts the requests at each target.
+type balancedRouter struct {
+	Router
+	mu   sync.Mutex
+	open map[string]int
+}
+
+// Begin implements Router.
+func (b *balancedRouter) Begin(id string) {
+	b.mu.Lock()
+	b.open[id]++
+	b.mu.Unlock()
+	b.Router.Begin(id)
+}
+
+// End implements Router.
+func (b *balancedRouter) End(id string, rep fleetrouter.Report) {
+	b.mu.Lock()
+	b.open[id]--
+	b.mu.Unlock()
+	b.Router.End(id, rep)
+}
+
+// TestRequestsAreEndedOnce guards against requests that the router counts at a target after
+// their end, or ends twice.
+func TestRequestsAreEndedOnce(t *testing.T) {
+	for _, targets := range []map[string]answerFunc{
+		{"a:1": pauseBetweenEvents, "b:1": goOn, "prefill:1": prefillPrompt},
+		{"a:1": pauseBetweenEvents, "b:1": writeRefusal, "prefill:1": prefillPrompt},
+		{"a:1": pauseBetweenEvents, "b:1": breakOff, "prefill:1": prefillPrompt},
+		{"a:1": pauseBetweenEvents, "b:1": hang, "prefill:1": prefillPrompt},
+		{"a:1": pauseBeforeHead, "b:1": pauseBeforeHead, "prefill:1": pausePrefill},
+		{"a:1": hang, "b:1": hang, "prefill:1": hang},
+	} {
+		for _, prompt := range []int{shortPrompt, longPrompt} {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				for seed := range uint64(10) {
+					n := &memoryNetwork{targets: targets}
+					d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, seed)
+					learnFirstEvent(d, 400*time.Millisecond)
+					router := &balancedRouter{Router: d.Router, open: map[string]int{}}
+					d.Router = router
+					serveOnce(c, d, n, prompt)
+					addresses := n.requests()
+					slices.Sort(addresses)
+					for id, count := range router.open {
+						c.Check(count, qt.Equals, 0, qt.Commentf("%s, sent to %v", id, addresses))
+					}
+				}
+			})
+		}
+	}
+}
+
 // pausingRelay is a sidecar whose engine pauses before the prefill. It ends a prefill at the
 // limit of the order.
 type pausingRelay struct {
@@ -449,3 +506,34 @@
 		}
 	})
 }
+
+// TestCallerLeavesDuringSearch guards against targets that go on with a request whose caller left
+// while one of them was being asked in place of the other.
+func TestCallerLeavesDuringSearch(t *testing.T) {
+	for _, role := range []radishspoke.Role{"", radishspoke.DecodeRole} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range uint64(10) {
+				var closed atomic.Int32
+				var last atomic.Int64 // nanoseconds
+				answer := func(conn net.Conn, r *http.Request) {
+					hang(conn, r)
+					closed.Add(1)
+					last.Store(time.Now().UnixNano())
+				}
+				n := &memoryNetwork{targets: map[string]answerFunc{"a:1": answer, "b:1": answer}}
+				d := newSilenceDispatcher(n, role, 9, seed)
+				r := newSilenceRequest(c, "r1")
+				ctx, cancel := context.WithTimeout(c.Context(), time.Second)
+				left := time.Now().Add(time.Second)
+				_, aborted := serveRequest(d, n, r.WithContext(ctx))
+				cancel()
+				c.Check(aborted, qt.IsTrue)
+				c.Assert(n.requests(), qt.HasLen, 2)
+				c.Assert(closed.Load(), qt.Equals, int32(2))
+				c.Assert(last.Load()-left.UnixNano() < int64(100*time.Millisecond), qt.IsTrue)
+				c.Assert(d.RetryBudgets.(*stubBudgets).taken, qt.Equals, 1)
+			}
+		})
+	}
+}
