--- a/coordination/fleetdispatcher/changingtable_test.go
+++ b/coordination/fleetdispatcher/changingtable_test.go
@@ -1,6 +1,8 @@
 package fleetdispatcher
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,40 +34,49 @@
 	return t.current
 }
 
-// setKeys puts a version in force with other keys.
-func (t *changingTable) setKeys(list []radishspoke.Key) {
+// update puts a version in force to which change has been applied. If keys is not nil, it
+// replaces the keys.
+func (t *changingTable) update(change func(*radishspoke.RoutingTable), keys Keys) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := *t.current.Table
 	next.Version++
-	t.current = &Configuration{Table: &next, Keys: newKeys(list)}
+	next.Rules, next.Teams, next.Groups = slices.Clone(next.Rules), slices.Clone(next.Teams), maps.Clone(next.Groups)
+	change(&next)
+	if keys == nil {
+		keys = t.current.Keys
+	}
+	t.current = &Configuration{Table: &next, Keys: keys}
+}
+
+// setKeys puts a version in force with other keys.
+func (t *changingTable) setKeys(list []radishspoke.Key) {
+	t.update(func(*radishspoke.RoutingTable) {}, newKeys(list))
 }
 
 // setRules puts a version in force in which change has been applied to each route.
 func (t *changingTable) setRules(change func(*radishspoke.PathRule)) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	next := *t.current.Table
-	next.Version++
-	next.Rules = append([]radishspoke.PathRule(nil), next.Rules...)
-	for i := range next.Rules {
-		change(&next.Rules[i])
-	}
-	t.current = &Configuration{Table: &next, Keys: t.current.Keys}
+	t.update(func(next *radishspoke.RoutingTable) {
+		for i := range next.Rules {
+			change(&next.Rules[i])
+		}
+	}, nil)
 }
 
-// requireKeys puts a version in force by which requests need a key of a team. It returns the
-// secret of the key, which is the only one.
-func (t *changingTable) requireKeys(team radishspoke.TeamRule) string {
-	secret := "rk-" + team.Name
-	t.setRules(func(r *radishspoke.PathRule) { r.Open = false })
-	t.mu.Lock()
-	next := *t.current.Table
-	next.KeysRequired, next.Teams = true, append([]radishspoke.TeamRule{team}, next.Teams...)
-	t.current = &Configuration{Table: &next, Keys: t.current.Keys}
-	t.mu.Unlock()
-	t.setKeys([]radishspoke.Key{{Hash: authenticator.Hash(secret), Team: team.Name}})
-	return secret
+// requireKeys puts a version in force by which requests need one of the keys, which belong to
+// the given teams.
+func (t *changingTable) requireKeys(keys []radishspoke.Key, teams ...radishspoke.TeamRule) {
+	t.update(func(next *radishspoke.RoutingTable) {
+		for i := range next.Rules {
+			next.Rules[i].Open = false
+		}
+		next.KeysRequired, next.Teams = true, teams
+	}, newKeys(keys))
+}
+
+// newKey returns a key of a team.
+func newKey(secret, team string) radishspoke.Key {
+	return radishspoke.Key{Hash: authenticator.Hash(secret), Team: team}
 }
 
 // noLimits admits all requests of all teams.
--- a/coordination/fleetdispatcher/randompauses_test.go
+++ b/coordination/fleetdispatcher/randompauses_test.go
@@ -175,7 +175,7 @@
 							return
 						}
 						c.Check(aborted, qt.IsNil, qt.Commentf("seed %d, %s: %q", seed, id, w.Body))
-						c.Check(w.Body.String(), qt.Equals, wholeStream(), qt.Commentf("seed %d, %s", seed, id))
+						c.Check(w.Body.String(), qt.Equals, wholeStream("x"), qt.Commentf("seed %d, %s", seed, id))
 					}()
 					d.ServeHTTP(w, r)
 				})
--- a/coordination/fleetdispatcher/silence_test.go
+++ b/coordination/fleetdispatcher/silence_test.go
@@ -44,6 +44,7 @@
 type memoryNetwork struct {
 	radishspoke.Network
 	targets map[string]answerFunc
+	closed  func(target net.Conn) // called once this side has closed a connection; may be nil
 
 	mu   sync.Mutex
 	sent []string // targets that got a request, in order
@@ -70,7 +71,23 @@
 			answer(target, r)
 		}
 	}()
-	return client, nil
+	return &watchedConn{Conn: client, closed: func() {
+		if n.closed != nil {
+			n.closed(target)
+		}
+	}}, nil
+}
+
+// watchedConn calls a function after it has been closed.
+type watchedConn struct {
+	net.Conn
+	closed func()
+}
+
+// Close implements net.Conn.
+func (c *watchedConn) Close() error {
+	defer c.closed()
+	return c.Conn.Close()
 }
 
 // requests returns the targets that got a request, in order.
@@ -106,9 +123,22 @@
 // the connection was closed.
 func writeEvents(conn net.Conn, first, last int) {
 	for i := first; i <= last; i++ {
-		text := fmt.Sprintf("id:%d\ndata:x\n\n", i)
-		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+		writeEvent(conn, i, "x")
+	}
+}
+
+func writeEvent(conn net.Conn, i int, data string) {
+	text := fmt.Sprintf("id:%d\ndata:%s\n\n", i, data)
+	_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text)
+}
+
+// wholeStream returns the events of a whole stream with the given data.
+func wholeStream(data string) string {
+	var b strings.Builder
+	for i := range lastEvent + 1 {
+		_, _ = fmt.Fprintf(&b, "id:%d\ndata:%s\n\n", i, data)
 	}
+	return b.String()
 }
 
 func writeEnd(conn net.Conn) { _, _ = io.WriteString(conn, "0\r\n\r\n") }
--- a/coordination/fleetdispatcher/withdrawal_test.go
+++ b/coordination/fleetdispatcher/withdrawal_test.go
@@ -1,11 +1,9 @@
 package fleetdispatcher
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,15 +14,6 @@
 	"radishspoke/platform"
 )
 
-// wholeStream returns the events of a whole stream.
-func wholeStream() string {
-	var b strings.Builder
-	for i := range lastEvent + 1 {
-		_, _ = fmt.Fprintf(&b, "id:%d\ndata:x\n\n", i)
-	}
-	return b.String()
-}
-
 // TestKeyWithdrawnBeforeSuccessorIsAsked guards against a stream that is cut because its key
 // was withdrawn while the prompt was prefilled for the successor of its silent engine.
 func TestKeyWithdrawnBeforeSuccessorIsAsked(t *testing.T) {
@@ -35,6 +24,7 @@
 		pause    = 1900 * time.Millisecond
 		first    = 350 * time.Millisecond // expected time of the first event
 		deadline = 15 * time.Second
+		secret   = "rk-t"
 	)
 	prefillSlowly := func(conn net.Conn, r *http.Request) {
 		time.Sleep(prefill)
@@ -60,7 +50,7 @@
 				d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, seed)
 				learnFirstEvent(d, first)
 				table := newChangingTable(d.Configurations.Configuration().Table)
-				secret := table.requireKeys(radishspoke.TeamRule{Name: "t"})
+				table.requireKeys([]radishspoke.Key{newKey(secret, "t")}, radishspoke.TeamRule{Name: "t"})
 				d.Configurations, d.KeyTrust, d.RateLimiter, d.Usage = table, alwaysTrusted{d.Clock}, noLimits{}, noUsage{}
 				withdrawal := time.AfterFunc(time.Duration(i)*step, func() { table.setKeys(nil) })
 				defer withdrawal.Stop()
@@ -82,7 +72,7 @@
 				default:
 					whole++
 					c.Check(w.Code, qt.Equals, http.StatusOK, qt.Commentf("%s; sent to %v", w.Body, n.requests()))
-					c.Check(w.Body.String(), qt.Equals, wholeStream())
+					c.Check(w.Body.String(), qt.Equals, wholeStream("x"))
 				}
 			})
 		}
