Check that targets that were picked are given back

An engine stays reserved, and its permit is lost, if the key of the request is withdrawn before the send, or if a prompt is to be relayed and no other engine takes the answer: planAttempt returns without Unpick. Callers are then refused, or not resumed, while the engine has room.

The times that the property logs are now those of short prompts, which wait for no prefill.

--- a/coordination/fleetdispatcher/randomchanges_test.go
+++ b/coordination/fleetdispatcher/randomchanges_test.go
@@ -19,6 +19,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"radishspoke"
+	"radishspoke/coordination/fleetrouter"
 	"radishspoke/platform"
 	"radishspoke/state/recorder"
 	"radishspoke/transport/httpclient"
@@ -108,6 +109,8 @@
 	fleet  *soundFleet
 	table  *changingTable
 	d      *Dispatcher
+	router *fleetrouter.Router
+	uses   *useCounter
 	stop   *randomStop
 	log    *lockedBuffer
 	counts *counts
@@ -164,11 +167,13 @@
 	f.refusals = []float64{0, 0.03, 0.15}[random.IntN(3)]
 	budget := []int{0, 1 + random.IntN(5), 20 + random.IntN(60), 10_000}[random.IntN(4)]
 	d := newSilenceDispatcher(f.network, role, budget, seed)
-	d.Router.(interface{ SetTargets([]radishspoke.Instance) }).SetTargets(list)
+	router := d.Router.(*fleetrouter.Router)
+	router.SetTargets(list)
 	s := &changeScene{
-		fleet: f, d: d, stop: &randomStop{}, log: &lockedBuffer{}, counts: &counts{Recorder: recorder.New()}, start: time.Now(),
+		fleet: f, d: d, router: router, uses: &useCounter{targets: map[string]*uses{}}, stop: &randomStop{}, log: &lockedBuffer{}, counts: &counts{Recorder: recorder.New()}, start: time.Now(),
 		engine: role != "", groups: groups, budget: budget, keys: map[string]radishspoke.Key{}, withdrawn: map[string]bool{},
 	}
+	d.Router, d.PromptQueue = countingRouter{router, s.uses}, countingQueue{d.PromptQueue, s.uses}
 	d.Log = slog.New(slog.NewTextHandler(s.log, nil))
 	d.Targets = httpclient.New(httpclient.Settings{}, f.network, d.Clock)
 	if role != "" && random.IntN(2) == 0 {
@@ -306,13 +311,14 @@
 	if i := s.fleet.intN(purpose, 4*len(list)); i < len(list) {
 		list[i].Leaving = true
 	}
-	s.d.Router.(interface{ SetTargets([]radishspoke.Instance) }).SetTargets(list)
+	s.router.SetTargets(list)
 }
 
 // sentRequest is a request of a caller and what came of it.
 type sentRequest struct {
 	id, secret string
 	limit      time.Duration // by the configuration at its arrival
+	patience   time.Duration
 	attempts   int
 	unsafe     bool
 	prompt     int // tokens
@@ -348,7 +354,7 @@
 		deadline = f.draw(id, 500*time.Millisecond, 4*time.Second).Truncate(time.Millisecond)
 	}
 	rule := s.table.Configuration().Table.Rules[0]
-	q.limit, q.attempts, q.unsafe, q.begin = min(deadline, rule.Timeout), rule.Attempts, rule.Kind == radishspoke.Unsafe, time.Now()
+	q.limit, q.patience, q.attempts, q.unsafe, q.begin = min(deadline, rule.Timeout), patience(rule), rule.Attempts, rule.Kind == radishspoke.Unsafe, time.Now()
 	in := platform.CallerHeader{ID: q.id, Secret: q.secret, Deadline: deadline}
 	if s.engine {
 		in.Generation = &radishspoke.GenerationInfo{Model: "m", Prompt: q.prompt, Output: lastEvent + 1}
@@ -378,10 +384,13 @@
 type changeFigures struct {
 	sent, whole, refused, atLimit, stopped, givenUp, resumed int
 
-	openTwice int             // pairs of runs of one request of which the first ended late
-	statuses  map[int]int     // answers by status
-	lost      []time.Duration // of whole answers, beyond the time that targets take which are never silent
-	waits     []time.Duration // of whole answers, the longest one for an event
+	openTwice int         // pairs of runs of one request of which the first ended late
+	statuses  map[int]int // answers by status
+	impatient int         // whole answers, for a part of which a caller does not wait
+
+	// Of whole answers to short prompts, which wait for no prefill: the time beyond that of
+	// targets that are never silent, and the longest wait for an event.
+	lost, waits []time.Duration
 }
 
 // check returns what is wrong with the end of a request, or "".
@@ -415,8 +424,13 @@
 			return "not whole"
 		}
 		n.whole++
-		n.lost = append(n.lost, took-s.least(q))
-		n.waits = append(n.waits, q.answer.longest)
+		if s.engine && q.answer.longest > q.patience {
+			n.impatient++
+		}
+		if q.prompt == shortPrompt {
+			n.lost = append(n.lost, took-headTime-(lastEvent+1)*stepTime)
+			n.waits = append(n.waits, q.answer.longest)
+		}
 		return ""
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusUnauthorized:
 		n.refused++
@@ -456,15 +470,6 @@
 	return b.String()
 }
 
-// least returns the time of an answer of targets that are never silent.
-func (s *changeScene) least(q *sentRequest) time.Duration {
-	t := headTime + (lastEvent+1)*stepTime
-	if s.engine && q.prompt == longPrompt {
-		t += s.fleet.prefill
-	}
-	return t
-}
-
 // run plays the scene, and returns its requests.
 func (s *changeScene) run(ctx context.Context) []*sentRequest {
 	const requests, changes, silences, moves = 100, 30, 30, 4
@@ -515,7 +520,7 @@
 // TestRandomChanges guards against requests that are lost beside changes of the configuration
 // because sound targets are silent at random: each request that was taken ends whole, in a
 // refusal that is true, or at its own time limit. It runs at one target at a time, and repeats
-// stay within the budget.
+// stay within the budget, and what is taken from targets is given back.
 func TestRandomChanges(t *testing.T) {
 	n := &changeFigures{statuses: map[int]int{}}
 	var faults []string
@@ -529,6 +534,9 @@
 					faults = append(faults, fmt.Sprintf("seed %d, %s", seed, s.describe(q, wrong)))
 				}
 			}
+			if leaks := s.uses.leaks(); leaks != "" {
+				faults = append(faults, fmt.Sprintf("seed %d: not given back: %s", seed, leaks))
+			}
 			n.givenUp, n.resumed = n.givenUp+s.counts.givenUp, n.resumed+s.counts.resumed
 			if extra > s.budget {
 				faults = append(faults, fmt.Sprintf("seed %d: %d repeats, and %d retries in the budget", seed, extra, s.budget))
@@ -538,8 +546,8 @@
 	for _, f := range faults {
 		t.Error(f)
 	}
-	t.Logf("%d requests: %d answers, %d attempts given up, %d streams resumed, %d refused, %d at their limit, %d at the end of a stop, %d faults; %v; two runs open for over %v: %d",
-		n.sent, n.whole, n.givenUp, n.resumed, n.refused, n.atLimit, n.stopped, len(faults), n.statuses, maxOverlap, n.openTwice)
+	t.Logf("%d requests: %d answers, %d attempts given up, %d streams resumed, %d refused, %d at their limit, %d at the end of a stop, %d faults; %v; two runs open for over %v: %d; %d answers with a wait over the patience of callers",
+		n.sent, n.whole, n.givenUp, n.resumed, n.refused, n.atLimit, n.stopped, len(faults), n.statuses, maxOverlap, n.openTwice, n.impatient)
 	slices.Sort(n.lost)
 	slices.Sort(n.waits)
 	t.Logf("time lost: median %v, 99th percentile %v, most %v", quantile(n.lost, 0.5), quantile(n.lost, 0.99), quantile(n.lost, 1))
