--- a/coordination/fleetdispatcher/changingtable_test.go
+++ b/coordination/fleetdispatcher/changingtable_test.go
@@ -1,6 +1,7 @@
 package fleetdispatcher
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -85,6 +86,11 @@
 // Admit implements RateLimiter.
 func (noLimits) Admit(radishspoke.TeamRule, float64) (time.Duration, bool) { return 0, true }
 
+// Wait implements RateLimiter.
+func (noLimits) Wait(context.Context, radishspoke.TeamRule, float64, time.Duration) (time.Duration, bool) {
+	return 0, true
+}
+
 // Refund implements RateLimiter.
 func (noLimits) Refund(radishspoke.TeamRule, float64) {}
 
--- a/coordination/fleetdispatcher/randomchanges_test.go
+++ b/coordination/fleetdispatcher/randomchanges_test.go
@@ -66,6 +66,7 @@
 
 // randomLimits refuses a share of the requests for the rate of their team.
 type randomLimits struct {
+	noLimits
 	fleet *soundFleet
 	share float64
 }
@@ -75,9 +76,6 @@
 	return time.Second, !l.fleet.chance("rate", l.share)
 }
 
-// Refund implements RateLimiter.
-func (randomLimits) Refund(radishspoke.TeamRule, float64) {}
-
 // lockedBuffer is a buffer for a log.
 type lockedBuffer struct {
 	mu sync.Mutex
@@ -181,7 +179,7 @@
 	}
 	s.table = newChangingTable(d.Configurations.Configuration().Table)
 	d.Configurations, d.KeyTrust, d.Usage, d.Answers = s.table, alwaysTrusted{d.Clock}, noUsage{}, noAnswers{}
-	d.RateLimiter, d.Shutdown, d.Recorder = randomLimits{f, 0.02}, s.stop, s.counts
+	d.RateLimiter, d.Shutdown, d.Recorder = randomLimits{fleet: f, share: 0.02}, s.stop, s.counts
 	if role != "" {
 		learnFirstEvent(d, f.draw(scene, 10*time.Millisecond, 600*time.Millisecond))
 	}
