--- a/coordination/fleetdispatcher/replacement.go
+++ b/coordination/fleetdispatcher/replacement.go
@@ -26,7 +26,7 @@
 
 // adopt makes a request go on with a replacement.
 func (j *job) adopt(r *replacement) {
-	j.replacement = r
+	j.replacement, j.mayHaveRun = r, true
 	maps.Copy(j.excluded, r.job.excluded)
 	j.visited += r.job.visited[r.shared:]
 	j.trial, j.noRelay = r.job.trial, r.job.noRelay
@@ -46,8 +46,8 @@
 // beginElsewhere has another target answer a request, while the last one is silent. It returns
 // as soon as the target has sent the header of a successful answer, or nil if none does. The
 // function mayAsk is called before a target is asked for the answer; it returns false if the
-// answer is not needed any more. All retries that j holds and that are not
-// used go back to the budget.
+// answer is not needed any more. All retries that j holds and that are not used go back to the
+// budget.
 func (d *Dispatcher) beginElsewhere(ctx context.Context, j *job, mayAsk func(p prefillPlan) bool) *replacement {
 	defer d.settle(j)
 	shared := len(j.visited)
@@ -80,7 +80,7 @@
 		out.reply.Close()
 	case !out.reply.Stamped || !j.accepts(out.reply.Status):
 		d.Router.End(t.ID, fleetrouter.Report{Failed: true})
-		j.markRun()
+		j.markRun(t.ID)
 		out.reply.Close()
 	default:
 		return out
