--- a/coordination/fleetdispatcher/replacement_test.go
+++ b/coordination/fleetdispatcher/replacement_test.go
@@ -83,7 +83,7 @@
 					began := time.Now()
 					w, aborted := serveOnce(c, d, n, shortPrompt)
 					c.Check(aborted, qt.IsFalse, qt.Commentf("sent to %v", n.requests()))
-					c.Assert(w.Body.String(), qt.Equals, wholeStream(), qt.Commentf("sent to %v", n.requests()))
+					c.Assert(w.Body.String(), qt.Equals, wholeStream("x"), qt.Commentf("sent to %v", n.requests()))
 					c.Assert(w.longest < minPatience && w.last.Sub(began) < 2*minPatience, qt.IsTrue)
 				}
 			})
@@ -134,10 +134,10 @@
 				n := &memoryNetwork{targets: map[string]answerFunc{"a:1": pauseBeforeHead, "b:1": other}}
 				d := newSilenceDispatcher(n, "", 9, seed)
 				table := newChangingTable(d.Configurations.Configuration().Table)
-				secret := table.requireKeys(radishspoke.TeamRule{Name: "t"})
+				table.requireKeys([]radishspoke.Key{newKey(secret, "t")}, radishspoke.TeamRule{Name: "t"})
 				usage := &countedUsage{}
 				d.Configurations, d.KeyTrust, d.RateLimiter, d.Usage = table, alwaysTrusted{d.Clock}, noLimits{}, usage
-				_, aborted := serveRequest(d, n, newKeyRequest(c, secret, shortPrompt))
+				_, aborted := serveRequest(d, n, newKeyRequest(c, shortPrompt))
 				c.Check(aborted, qt.IsFalse)
 				c.Assert(usage.begun, qt.Equals, 1, qt.Commentf("the other target %s; sent to %v", name, n.requests()))
 			}
@@ -173,7 +173,7 @@
 			d.RelayClient, d.Answers = &rejectingRelay{}, noAnswers{}
 			w, aborted := serveOnce(c, d, n, longPrompt)
 			c.Check(aborted, qt.IsFalse, qt.Commentf("sent to %v", n.requests()))
-			c.Assert(w.Body.String(), qt.Equals, wholeStream(), qt.Commentf("sent to %v", n.requests()))
+			c.Assert(w.Body.String(), qt.Equals, wholeStream("x"), qt.Commentf("sent to %v", n.requests()))
 		}
 	})
 }
@@ -205,7 +205,7 @@
 			learnFirstEvent(d, 500*time.Millisecond)
 			w, aborted := serveOnce(c, d, n, shortPrompt)
 			c.Check(aborted, qt.IsFalse, qt.Commentf("%d attempts; sent to %v", attempts, n.requests()))
-			c.Assert(w.Body.String(), qt.Equals, wholeStream(), qt.Commentf("%d attempts; sent to %v", attempts, n.requests()))
+			c.Assert(w.Body.String(), qt.Equals, wholeStream("x"), qt.Commentf("%d attempts; sent to %v", attempts, n.requests()))
 		}
 	})
 }
@@ -234,7 +234,7 @@
 			learnFirstEvent(d, 400*time.Millisecond)
 			w, aborted := serveOnce(c, d, n, shortPrompt)
 			c.Check(aborted, qt.IsFalse, qt.Commentf("sent to %v", n.requests()))
-			c.Assert(w.Body.String(), qt.Equals, wholeStream(), qt.Commentf("sent to %v", n.requests()))
+			c.Assert(w.Body.String(), qt.Equals, wholeStream("x"), qt.Commentf("sent to %v", n.requests()))
 		}
 	})
 }
@@ -280,7 +280,7 @@
 				d.Quarantine = broken
 				w, aborted := serveOnce(c, d, n, shortPrompt)
 				c.Check(aborted, qt.IsFalse)
-				c.Check(w.Body.String(), qt.Equals, wholeStream())
+				c.Check(w.Body.String(), qt.Equals, wholeStream("x"))
 				c.Assert(broken.ids, qt.DeepEquals, n.requests()[:1], qt.Commentf("role %q", role))
 			}
 		})
@@ -422,7 +422,7 @@
 			began := time.Now()
 			w, aborted := serveOnce(c, d, n, longPrompt)
 			c.Check(aborted, qt.IsFalse)
-			c.Assert(w.Body.String(), qt.Equals, wholeStream(), qt.Commentf("sent to %v", n.requests()))
+			c.Assert(w.Body.String(), qt.Equals, wholeStream("x"), qt.Commentf("sent to %v", n.requests()))
 			c.Assert(w.last.Sub(began) < minPatience, qt.IsTrue)
 		}
 	})
