--- a/coordination/fleetdispatcher/withdrawal_test.go
+++ b/coordination/fleetdispatcher/withdrawal_test.go
@@ -1,11 +1,9 @@
 package fleetdispatcher
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,14 +14,8 @@
 	"radishspoke/platform"
 )
 
-// wholeStream returns the events of a whole stream.
-func wholeStream() string {
-	var b strings.Builder
-	for i := range lastEvent + 1 {
-		_, _ = fmt.Fprintf(&b, "id:%d\ndata:x\n\n", i)
-	}
-	return b.String()
-}
+// secret is that of the only key in these tests.
+const secret = "rk-t"
 
 // TestKeyWithdrawnBeforeSuccessorIsAsked guards against a stream that is cut because its key
 // was withdrawn while the prompt was prefilled for the successor of its silent engine.
@@ -59,11 +51,11 @@
 				d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, seed)
 				learnFirstEvent(d, first)
 				table := newChangingTable(d.Configurations.Configuration().Table)
-				secret := table.requireKeys(radishspoke.TeamRule{Name: "t"})
+				table.requireKeys([]radishspoke.Key{newKey(secret, "t")}, radishspoke.TeamRule{Name: "t"})
 				d.Configurations, d.KeyTrust, d.RateLimiter, d.Usage = table, alwaysTrusted{d.Clock}, noLimits{}, noUsage{}
 				withdrawal := time.AfterFunc(time.Duration(i)*step, func() { table.setKeys(nil) })
 				defer withdrawal.Stop()
-				w, aborted := serveRequest(d, n, newKeyRequest(c, secret, longPrompt))
+				w, aborted := serveRequest(d, n, newKeyRequest(c, longPrompt))
 				switch {
 				case w.Code == http.StatusUnauthorized:
 					refused++
@@ -76,7 +68,7 @@
 				default:
 					whole++
 					c.Check(w.Code, qt.Equals, http.StatusOK, qt.Commentf("%s; sent to %v", w.Body, n.requests()))
-					c.Check(w.Body.String(), qt.Equals, wholeStream())
+					c.Check(w.Body.String(), qt.Equals, wholeStream("x"))
 				}
 			})
 		}
@@ -96,19 +88,19 @@
 				n := &memoryNetwork{targets: map[string]answerFunc{"a:1": stall, "b:1": goOn, "prefill:1": prefillPrompt}}
 				d := newSilenceDispatcher(n, radishspoke.DecodeRole, 9, seed)
 				table := newChangingTable(d.Configurations.Configuration().Table)
-				secret := table.requireKeys(radishspoke.TeamRule{Name: "t"})
+				table.requireKeys([]radishspoke.Key{newKey(secret, "t")}, radishspoke.TeamRule{Name: "t"})
 				d.Configurations, d.KeyTrust, d.RateLimiter, d.Usage = table, alwaysTrusted{d.Clock}, noLimits{}, noUsage{}
 				time.AfterFunc(silence/2, func() { table.setKeys(nil) })
-				w, aborted := serveRequest(d, n, newKeyRequest(c, secret, prompt))
+				w, aborted := serveRequest(d, n, newKeyRequest(c, prompt))
 				c.Check(aborted, qt.IsFalse, qt.Commentf("%d tokens, sent to %v", prompt, n.requests()))
-				c.Assert(w.Body.String(), qt.Equals, wholeStream())
+				c.Assert(w.Body.String(), qt.Equals, wholeStream("x"))
 			}
 		})
 	}
 }
 
-// newKeyRequest returns a request with a key.
-func newKeyRequest(c *qt.C, secret string, prompt int) *http.Request {
+// newKeyRequest returns a request with the key.
+func newKeyRequest(c *qt.C, prompt int) *http.Request {
 	r := httptest.NewRequestWithContext(c.Context(), http.MethodPost, "/", nil)
 	r.Host = "h"
 	r.Header = platform.EncodeRequest(platform.CallerHeader{
