Tell an outage of the platform from one of the process itself

Callers saw requests sent to a target up to 3 s after it had left (DRAIN), by an entry that had been cut off shortly before. Cause: any failed read of the list counted as an outage of the platform, after which targets that are missing from the list are kept for 2.2 s, and dropped by the next read only, 10 s later at a process that others notify.

TestTargetLeavesAfterOwnOutage failed before (followed_test.go:157: got "stays" and "leaves", want "stays"), as did TestTargetLeavesWhileCutOff, TestMissingTargetIsDroppedInTime and, for lists told by a peer, TestMissingTargetOfPeer.

Periods join if at most 1 s lies between them, so that a process that was cut off learns from the first datagram whether the platform was up meanwhile. A missing target is kept only if it was last listed before that period began, until a list that was read at the end of the grace lacks it; the process reads it then if nobody has told it of one.

Why it works: the platform drops live targets only while it is down for all, and then no process can tell of a period that covers the outage. What a failed read of one process says about the others is not used.

Found beside it, the opposite fault: the first process to read the list after an outage of the platform told the others that the expired targets were gone, and they dropped them (TestListToldAfterOutage: got "stays", want "expires stays"); and changes of an older list were applied to a newer one (TestOlderChangesOfPeer). TestTargetsBesideOutages checks both sides beside random troubles of 2, 5 and 29 processes; it fails on the code before and without each of three parts of the change.

--- a/internal/assembler/fleetgossip.go
+++ b/internal/assembler/fleetgossip.go
@@ -107,8 +107,9 @@
 		m.Version, m.ProofAgeUs = t.Version, (e.env.Clock.Now() - e.watcher.Proof()).Microseconds()
 	}
 	digest, readAt := e.watcher.Digest()
-	age := e.env.Clock.Now() - readAt
-	m.Digest, m.DigestAgeUs, m.Watching = digest, age.Microseconds(), e.watcher.Watching()
+	now := e.env.Clock.Now()
+	m.Digest, m.DigestAgeUs, m.Watching = digest, (now - readAt).Microseconds(), e.watcher.Watching()
+	m.ServedAgeUs = (now - e.watcher.Served()).Microseconds()
 }
 
 // beaconCandidates is the number of entries, by the order of the names of the live
@@ -166,6 +167,9 @@
 // handleGossip processes the content of a gossip message received from a peer.
 func (e *FleetEntry) handleGossip(u gossiper.Update) {
 	e.watcher.UpdateConfiguration(nil, u.Version, u.Proof)
+	if u.Message.GetDigest() != 0 && u.ListReadAt != 0 {
+		e.watcher.RecordServed(e.env.Clock.Now()-time.Duration(u.Message.GetServedAgeUs())*time.Microsecond, u.ListReadAt)
+	}
 	e.watcher.CompareDigest(u.Message.GetDigest(), u.ListReadAt, decodeChanges(u.Message.GetChanges()))
 	if u.Message.GetUpUs() == 0 {
 		return // a beacon, which says nothing else
@@ -207,11 +211,15 @@
 func (e *FleetEntry) notifySidecars(ctx context.Context, t radishspoke.Timers) {
 	ticker.Each(ctx, t, notifyInterval, func() {
 		digest, readAt := e.watcher.Digest()
-		age := e.env.Clock.Now() - readAt
+		now := e.env.Clock.Now()
+		age := now - readAt
 		if e.rank() > 0 || digest == 0 || age > maxProofAge {
 			return
 		}
-		data, err := proto.Marshal(&wire.Gossip{Process: e.settings.Name, Digest: digest, DigestAgeUs: age.Microseconds(), PrefillShares: e.prefillShares(), Changes: encodeChanges(e.watcher.Changes(notifiedChanges))})
+		data, err := proto.Marshal(&wire.Gossip{
+			Process: e.settings.Name, Digest: digest, DigestAgeUs: age.Microseconds(), ServedAgeUs: (now - e.watcher.Served()).Microseconds(),
+			PrefillShares: e.prefillShares(), Changes: encodeChanges(e.watcher.Changes(notifiedChanges)),
+		})
 		if err != nil {
 			e.env.Log.Error("datagram not encoded", "error", err)
 			return
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -235,8 +235,12 @@
 		now := d.env.Clock.Now()
 		d.lastNotified.Store(int64(now))
 		d.updateShares(m.GetPrefillShares())
-		age := min(max(0, time.Duration(m.GetDigestAgeUs())*time.Microsecond), now)
-		d.watcher.CompareDigest(m.GetDigest(), now-age, decodeChanges(m.GetChanges()))
+		at := func(ageUs int64) time.Duration { return now - min(max(0, time.Duration(ageUs)*time.Microsecond), now) }
+		read := at(m.GetDigestAgeUs())
+		if m.GetDigest() != 0 {
+			d.watcher.RecordServed(at(m.GetServedAgeUs()), read)
+		}
+		d.watcher.CompareDigest(m.GetDigest(), read, decodeChanges(m.GetChanges()))
 	}
 }
 
--- a/state/fleetwatcher/changes.go
+++ b/state/fleetwatcher/changes.go
@@ -52,12 +52,13 @@
 	listed := make(map[string]bool, len(list))
 	for _, i := range list {
 		listed[i.ID] = true
-		if old, ok := w.instances[i.ID]; !ok || digestOf([]radishspoke.Instance{old}) != digestOf([]radishspoke.Instance{i}) {
+		_, missing := w.missing[i.ID]
+		if old, ok := w.instances[i.ID]; !ok || missing || digestOf([]radishspoke.Instance{old}) != digestOf([]radishspoke.Instance{i}) {
 			w.addChange(Change{Instance: i}, now)
 		}
 	}
 	for id := range w.instances {
-		if !listed[id] {
+		if _, missing := w.missing[id]; !listed[id] && !missing {
 			w.addChange(Change{Instance: radishspoke.Instance{ID: id}, Gone: true}, now)
 		}
 	}
@@ -70,20 +71,25 @@
 	}
 }
 
-// applyChanges applies changes of another process's list, and returns true if this
-// process then has the list with the given digest. Otherwise its list stays as it is.
-// Targets that are kept although they are missing from the list are not part of the
-// digest; while there are any, no changes are applied.
-func (w *Watcher) applyChanges(digest uint64, changes []Change) bool {
+// applyChanges applies changes of another process's list, which was read at the time at or
+// later, and returns true if this process then has the list with the given digest. Otherwise,
+// and if its list was complete after that time, the list stays as it is.
+func (w *Watcher) applyChanges(digest uint64, at time.Duration, changes []Change) bool {
 	if len(changes) == 0 {
 		return false
 	}
 	w.notifying.Lock()
 	defer w.notifying.Unlock()
 	w.mu.Lock()
+	if at <= w.complete {
+		w.mu.Unlock()
+		return false
+	}
 	next := make(map[string]radishspoke.Instance, len(w.instances))
 	for id, i := range w.instances {
-		next[id] = i
+		if _, missing := w.missing[id]; !missing {
+			next[id] = i
+		}
 	}
 	for _, c := range changes {
 		if c.Gone {
@@ -92,30 +98,27 @@
 		}
 		next[c.Instance.ID] = c.Instance
 	}
-	out := make([]radishspoke.Instance, 0, len(next))
+	list := make([]radishspoke.Instance, 0, len(next))
 	for _, i := range next {
-		out = append(out, i)
+		list = append(list, i)
 	}
-	if digestOf(out) != digest {
+	if digestOf(list) != digest {
 		w.mu.Unlock()
 		return false
 	}
 	now := w.clock.Now()
 	for _, c := range changes {
-		old, ok := w.instances[c.Instance.ID]
-		switch {
-		case c.Gone && ok:
-			w.log.Info("target gone", "target", c.Instance.ID, "address", old.Address)
-			delete(w.seen, c.Instance.ID)
-		case !c.Gone:
-			w.seen[c.Instance.ID] = now
-			if i := c.Instance; !ok || old.Leaving != i.Leaving || old.Role != i.Role {
+		if i := c.Instance; !c.Gone {
+			if old, ok := w.instances[i.ID]; !ok || old.Leaving != i.Leaving || old.Role != i.Role {
 				w.log.Info("target listed", "target", i.ID, "address", i.Address, "zone", i.Zone, "role", i.Role, "leaving", i.Leaving)
 			}
 		}
 		w.addChange(c, now)
 	}
-	w.instances, w.digest = next, digest
+	w.recordServed(period{at, at})
+	w.recordComplete(at)
+	w.setList(next, digest, at)
+	out := w.list()
 	w.mu.Unlock()
 	w.listed(out)
 	return true
--- a/state/fleetwatcher/doc.go
+++ b/state/fleetwatcher/doc.go
@@ -7,9 +7,10 @@
 //
 // A list has the time at which the call was sent that read it, and the process knows since
 // when it has missed no change of the list. A target that disappears
-// from the list is dropped at once, except shortly after the list could not be
-// read: during an outage the platform drops targets that are still alive, and
-// lists them again soon after the outage.
+// from the list is dropped at once, except shortly after an outage of the platform:
+// during it, the platform drops targets that are still alive, and lists them again
+// soon after it. Processes tell each other since when the platform has served the list,
+// so that an outage of one process does not count as one of the platform.
 //
 // Package fleetwatcher runs on an external platform. Its counterpart in
 // radishspoke's own deployment is package watcher.
--- a/state/fleetwatcher/fleet_test.go
+++ b/state/fleetwatcher/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -40,7 +41,8 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	newest  *radishspoke.RoutingTable
-	changed chan struct{} // closed and replaced at each change
+	changed chan struct{}   // closed and replaced at each change
+	list    map[string]bool // targets
 }
 
 const (
@@ -76,6 +78,7 @@
 func newSimulatedFleet(ctx context.Context, size int, seed uint64) *simulatedFleet {
 	f := &simulatedFleet{
 		clock: ticker.NewMonotonicClock(), random: rand.New(rand.NewPCG(seed, 1)), newest: &radishspoke.RoutingTable{Version: 1}, changed: make(chan struct{}),
+		list: map[string]bool{"a": true, "b": true},
 	}
 	for n := range size {
 		p := &simulatedProcess{fleet: f, name: fmt.Sprintf("%03d", n), heard: map[int]heardState{}, next: n + 1}
@@ -107,6 +110,26 @@
 	return f.newest, f.changed
 }
 
+// set lists the targets with the given ids, or removes them from the list.
+func (f *simulatedFleet) set(listed bool, ids ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		if listed {
+			f.list[id] = true
+		} else {
+			delete(f.list, id)
+		}
+	}
+}
+
+// targets returns the ids of the targets that are listed.
+func (f *simulatedFleet) targets() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.list))
+}
+
 // draw returns a random number below n.
 func (f *simulatedFleet) draw(n int) int {
 	f.mu.Lock()
@@ -140,7 +163,10 @@
 			to.heard[from] = heardState{f.clock.Now(), version, p.watcher.Watching()}
 			to.mu.Unlock()
 			to.watcher.UpdateConfiguration(nil, version, proof)
-			to.watcher.CompareDigest(digest, read, nil)
+			if digest != 0 {
+				to.watcher.RecordServed(p.watcher.Served(), read)
+			}
+			to.watcher.CompareDigest(digest, read, p.watcher.Changes(1100*time.Millisecond))
 		}
 	}
 }
@@ -241,7 +267,7 @@
 	if err := p.call(ctx, 0); err != nil {
 		return nil, err
 	}
-	return instances("a", "b"), nil
+	return instances(p.fleet.targets()...), nil
 }
 
 // inTouch reports whether a process runs and reaches the others.
--- a/state/fleetwatcher/fleetwatcher.go
+++ b/state/fleetwatcher/fleetwatcher.go
@@ -48,9 +48,9 @@
 	// processes watch the platform. Zero means 10 s.
 	IdleInterval time.Duration
 
-	// MissingGrace is how long after an outage a target that is missing from
-	// the list is kept. Zero means 2.2 s, as live targets are listed again within
-	// 2 s of the end of an outage.
+	// MissingGrace is how long after an outage of the platform a target that is
+	// missing from the list is kept. Zero means 2.2 s, as live targets are listed
+	// again within 2 s of the end of an outage.
 	MissingGrace time.Duration
 
 	// MaxGap is the longest time between two proofs that the list is complete, reads of
@@ -121,22 +121,24 @@
 
 	mu           sync.RWMutex
 	table        *radishspoke.RoutingTable
-	proof        time.Duration // when the table was last known to be the newest
-	reported     int64         // newest version that another process has reported
-	reportedAt   time.Duration // when it was first reported
-	instances    map[string]radishspoke.Instance
-	seen         map[string]time.Duration // when each was last on the list
-	odd          map[string]bool          // errors about rows in the last list
-	listFailed   bool                     // the last read of the list failed
-	configFailed bool                     // the last read of the configuration failed
-	recovered    time.Duration            // when the last outage of the list ended
-	digest       uint64                   // of the list as last read, or last received from a peer
-	readAt       time.Duration            // when the call was sent that last read the list
-	respondedAt  time.Duration            // when it was answered
-	followed     time.Duration            // time since which no change of the list was missed
-	complete     time.Duration            // when the list was last known to be complete
-	peerReadAt   time.Duration            // when a peer read the newest list that it sent
-	changes      []timedChange            // of the list, the oldest first
+	proof        time.Duration                   // when the table was last known to be the newest
+	reported     int64                           // newest version that another process has reported
+	reportedAt   time.Duration                   // when it was first reported
+	instances    map[string]radishspoke.Instance // the list and the missing targets that are kept
+	missing      map[string]time.Duration        // when each of the latter was last on the list
+	odd          map[string]bool                 // errors about rows in the last list
+	listFailed   bool                            // the last read of the list failed
+	configFailed bool                            // the last read of the configuration failed
+	recovered    time.Duration                   // when this process could read the list again after a failed read
+	served       period                          // in which the platform is known to have served the list without an outage
+	digest       uint64                          // of the list as last read, or last received from a peer
+	listedAt     time.Duration                   // when its targets were last known to be on it
+	readAt       time.Duration                   // when the call was sent that last read the list
+	respondedAt  time.Duration                   // when it was answered
+	followed     time.Duration                   // time since which no change of the list was missed
+	complete     time.Duration                   // when the list was last known to be complete
+	peerReadAt   time.Duration                   // when a peer read the newest list that it sent
+	changes      []timedChange                   // of the list, the oldest first
 }
 
 // New returns a Watcher without a configuration and without targets. It calls
@@ -151,7 +153,7 @@
 	}
 	return &Watcher{
 		settings: s, watch: mustWatch, wake: make(chan struct{}, 1), behind: make(chan struct{}, 1), renew: make(chan struct{}, 1), refreshing: make(chan struct{}, 1), source: src, clock: c, log: log, changed: changed, listed: listed,
-		instances: map[string]radishspoke.Instance{}, seen: map[string]time.Duration{}, recovered: -s.MissingGrace,
+		instances: map[string]radishspoke.Instance{}, missing: map[string]time.Duration{}, recovered: never, served: period{never, never},
 		complete: c.Now() - s.MaxGap - 1,
 	}
 }
@@ -212,7 +214,11 @@
 func (w *Watcher) await(ctx context.Context) {
 	start := w.clock.Now()
 	for {
-		t := time.NewTimer(watchInterval)
+		pause := watchInterval
+		if at, ok := w.missingReadAt(); ok {
+			pause = max(0, min(pause, at-w.clock.Now()))
+		}
+		t := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
 			t.Stop()
@@ -222,8 +228,9 @@
 			return
 		case <-t.C:
 		}
-		elapsed := w.clock.Now() - start
-		if w.watch() && elapsed >= w.settings.Interval || elapsed >= w.settings.IdleInterval {
+		now := w.clock.Now()
+		at, missing := w.missingReadAt()
+		if w.watch() && now-start >= w.settings.Interval || now-start >= w.settings.IdleInterval || missing && now >= at {
 			return
 		}
 	}
@@ -233,6 +240,11 @@
 func (w *Watcher) Instances() []radishspoke.Instance {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
+	return w.list()
+}
+
+// list returns the targets. The caller holds the lock.
+func (w *Watcher) list() []radishspoke.Instance {
 	out := make([]radishspoke.Instance, 0, len(w.instances))
 	for _, i := range w.instances {
 		out = append(out, i)
@@ -262,19 +274,24 @@
 // CompareDigest handles the digest of another process's list, which was read at the
 // time at or later, and the recent changes of that list. If the digest differs from
 // that of this process and this process last read the list before at, it applies the
-// changes. If these don't lead to the digest, it reads the list again at once.
+// changes, unless its list is known to be newer. If these don't lead to the digest, it
+// reads the list again at once.
 func (w *Watcher) CompareDigest(digest uint64, at time.Duration, changes []Change) {
 	own, read := w.Digest()
-	if digest != 0 && digest == own || at > read && w.applyChanges(digest, changes) {
-		w.mu.Lock()
-		w.recordComplete(at)
-		w.mu.Unlock()
-		return
+	switch {
+	case digest == 0:
+	case digest == own:
+		w.update(func() { w.confirm(at) })
+	case at > read && !w.applyChanges(digest, at, changes):
+		signal(w.wake)
 	}
-	if digest == 0 || at <= read {
-		return
-	}
-	signal(w.wake)
+}
+
+// confirm records that the list was complete at a time. The caller holds the lock.
+func (w *Watcher) confirm(at time.Duration) {
+	w.recordServed(period{at, at})
+	w.recordComplete(at)
+	w.listedAt = max(w.listedAt, at)
 }
 
 // digestOf returns a digest of the list. It depends neither on the order of the
@@ -316,37 +333,19 @@
 		w.log.Info("targets are listed again")
 		w.listFailed, w.recovered = false, now
 	}
+	w.recordServed(period{now, sent})
 	w.recordChanges(list, now)
-	w.digest, w.readAt, w.respondedAt = digestOf(list), sent, now
+	w.readAt, w.respondedAt = sent, now
 	w.recordComplete(sent)
 	next := make(map[string]radishspoke.Instance, len(list))
 	for _, i := range list {
 		next[i.ID] = i
-		w.seen[i.ID] = now
-	}
-	for id, i := range w.instances {
-		if _, ok := next[id]; ok {
-			continue
-		}
-		// A missing target is kept for MissingGrace after an outage, unless it was
-		// listed since: then it has left.
-		if now-w.recovered < w.settings.MissingGrace && w.seen[id] < w.recovered {
-			next[id] = i
-			continue
+		if old, ok := w.instances[i.ID]; !ok || old.Leaving != i.Leaving || old.Role != i.Role || old.Software != i.Software {
+			w.log.Info("target listed", "target", i.ID, "address", i.Address, "zone", i.Zone, "role", i.Role, "software", i.Software, "leaving", i.Leaving)
 		}
-		delete(w.seen, id)
-		w.log.Info("target gone", "target", id, "address", i.Address)
-	}
-	for id, i := range next {
-		if old, ok := w.instances[id]; !ok || old.Leaving != i.Leaving || old.Role != i.Role || old.Software != i.Software {
-			w.log.Info("target listed", "target", id, "address", i.Address, "zone", i.Zone, "role", i.Role, "software", i.Software, "leaving", i.Leaving)
-		}
-	}
-	w.instances = next
-	out := make([]radishspoke.Instance, 0, len(next))
-	for _, i := range next {
-		out = append(out, i)
 	}
+	w.setList(next, digestOf(list), now)
+	out := w.list()
 	w.mu.Unlock()
 	w.listed(out)
 }
--- a/state/fleetwatcher/peers.go
+++ b/state/fleetwatcher/peers.go
@@ -20,11 +20,24 @@
 	Version  int64
 	ProofAge time.Duration
 
-	// Instances holds the targets, or nil if the requester's list has the same
-	// Digest. ListAge is the time since the list was read.
+	// Instances holds the list of targets, or nil if the requester's list has the
+	// same Digest. ListAge is the time since the list was read.
 	Instances []radishspoke.Instance
 	Digest    uint64
 	ListAge   time.Duration
+
+	// ServedAge is the time for which the platform has served the list without an
+	// outage. Missing holds the targets that are missing from the list since an
+	// outage and are kept.
+	ServedAge time.Duration
+	Missing   []MissingTarget
+}
+
+// MissingTarget is a target that is missing from the list since an outage. ListedAge is the
+// time since it was last listed.
+type MissingTarget struct {
+	Instance  radishspoke.Instance
+	ListedAge time.Duration
 }
 
 // Peers gives access to other processes that follow the same source.
@@ -64,6 +77,9 @@
 	defer w.mu.RUnlock()
 	now := w.clock.Now()
 	s := Snapshot{ProofAge: now - w.proof, Digest: w.digest, ListAge: now - max(w.readAt, w.peerReadAt)}
+	if w.served.since != never {
+		s.ServedAge = now - w.served.since
+	}
 	if w.table != nil {
 		s.Version = w.table.Version
 		if s.Version > version {
@@ -72,7 +88,11 @@
 	}
 	if w.digest != digest {
 		s.Instances = make([]radishspoke.Instance, 0, len(w.instances))
-		for _, i := range w.instances {
+	}
+	for id, i := range w.instances {
+		if listed, ok := w.missing[id]; ok {
+			s.Missing = append(s.Missing, MissingTarget{Instance: i, ListedAge: now - listed})
+		} else if w.digest != digest {
 			s.Instances = append(s.Instances, i)
 		}
 	}
@@ -219,31 +239,38 @@
 	w.notifying.Lock()
 	defer w.notifying.Unlock()
 	w.mu.Lock()
-	if s.Digest == 0 || read <= max(w.readAt, w.peerReadAt) {
+	if s.Digest == 0 || read <= w.complete {
 		w.mu.Unlock()
 		return
 	}
 	// readAt does not change, as other processes rely on it being the time at
 	// which this process itself read the list.
 	w.peerReadAt = read
-	w.recordComplete(read)
-	if s.Digest == w.digest || s.Instances == nil {
-		w.mu.Unlock()
-		return
-	}
-	w.digest = s.Digest
-	next := make(map[string]radishspoke.Instance, len(s.Instances))
-	for _, i := range s.Instances {
-		next[i.ID] = i
-		w.seen[i.ID] = max(w.seen[i.ID], read)
+	w.recordServed(period{min(read, w.clock.Now()-max(0, s.ServedAge)), read})
+	changed := false
+	for _, m := range s.Missing {
+		if _, ok := w.instances[m.Instance.ID]; !ok {
+			w.instances[m.Instance.ID], w.missing[m.Instance.ID] = m.Instance, sent-max(0, m.ListedAge)
+			changed = true
+		}
 	}
-	for id := range w.instances {
-		if _, ok := next[id]; !ok {
-			delete(w.seen, id)
+	switch {
+	case s.Digest == w.digest:
+		w.confirm(read)
+		changed = w.dropMissing() || changed
+	case s.Instances != nil:
+		next := make(map[string]radishspoke.Instance, len(s.Instances))
+		for _, i := range s.Instances {
+			next[i.ID] = i
 		}
+		w.recordComplete(read)
+		w.setList(next, s.Digest, read)
+		changed = true
+		w.log.Info("targets told by a peer", "targets", len(s.Instances), "age", w.clock.Now()-read)
 	}
-	w.instances = next
+	out := w.list()
 	w.mu.Unlock()
-	w.log.Info("targets told by a peer", "targets", len(s.Instances), "age", w.clock.Now()-read)
-	w.listed(s.Instances)
+	if changed {
+		w.listed(out)
+	}
 }
--- a/state/gossiper/gossiper.go
+++ b/state/gossiper/gossiper.go
@@ -376,7 +376,7 @@
 // possibleTimes reports whether the times in a datagram received at the time now can be
 // right: none lies in the future by more than maxDrift, and no age is negative.
 func possibleTimes(m *wire.Gossip, now time.Duration) bool {
-	for _, age := range []int64{m.GetHeldUs(), m.GetProofAgeUs(), m.GetDigestAgeUs()} {
+	for _, age := range []int64{m.GetHeldUs(), m.GetProofAgeUs(), m.GetDigestAgeUs(), m.GetServedAgeUs()} {
 		if age < 0 || age > maxAge.Microseconds() {
 			return false
 		}
