Take the list of a peer that is older than this process

Cause: the list of a peer was compared with the time at which the own list was complete, which counts from the start if there is none. It is now compared with the time at which the own list was last known to be right, zero without one; likewise for changes in datagrams.

TestListOfPeerAtStart failed before: outage_test.go:182, got "", want "a". TestOlderChangesOfPeer and TestTargetsBesideOutages still pass.

--- a/state/fleetwatcher/changes.go
+++ b/state/fleetwatcher/changes.go
@@ -73,7 +73,7 @@
 
 // applyChanges applies changes of another process's list, which was read at the time at or
 // later, and returns true if this process then has the list with the given digest. Otherwise,
-// and if its list was complete after that time, the list stays as it is.
+// and if its own list is not older, the list stays as it is.
 func (w *Watcher) applyChanges(digest uint64, at time.Duration, changes []Change) bool {
 	if len(changes) == 0 {
 		return false
@@ -81,7 +81,7 @@
 	w.notifying.Lock()
 	defer w.notifying.Unlock()
 	w.mu.Lock()
-	if at <= w.complete {
+	if at <= w.listedAt {
 		w.mu.Unlock()
 		return false
 	}
--- a/state/fleetwatcher/outage_test.go
+++ b/state/fleetwatcher/outage_test.go
@@ -165,6 +165,26 @@
 	})
 }
 
+// TestListOfPeerAtStart guards against a process that starts during an outage of the platform and
+// does not take the list of a peer, because that was read before it started.
+func TestListOfPeerAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		clock := ticker.NewMonotonicClock()
+		ctx, cancel := context.WithCancel(t.Context())
+		peer := newFollower(nil, clock)
+		peer.HandleList(instances("a"), nil)
+		time.Sleep(10 * time.Second)
+		w := newFollower(nil, clock)
+		w.HandleList(nil, radishspoke.ErrUnavailable)
+		go w.RunPeers(ctx, &peers{snapshot: peer.Snapshot}, newRandom())
+		time.Sleep(time.Second)
+		c.Check(ids(w), qt.Equals, "a")
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestMissingTargetIsDroppedInTime guards against DRAIN: a process that nobody tells of the list
 // keeps a target that has left until its next read of the list, 10 s after an outage.
 func TestMissingTargetIsDroppedInTime(t *testing.T) {
--- a/state/fleetwatcher/peers.go
+++ b/state/fleetwatcher/peers.go
@@ -239,7 +239,7 @@
 	w.notifying.Lock()
 	defer w.notifying.Unlock()
 	w.mu.Lock()
-	if s.Digest == 0 || read <= w.complete {
+	if s.Digest == 0 || read <= w.listedAt {
 		w.mu.Unlock()
 		return
 	}
