Ask a target once while the prompt of its request is still being prefilled

What callers saw: nothing directly; retries were used up by a target that refused, as each search while a prefill engine hung asked it again.

Cause: each search made the target of the attempt eligible, which has not been asked as long as the prompt is being prefilled, also after another search had asked it.

It is eligible from the start of the attempt until it is asked. TestRefusingTargetIsAskedOnce fails without the change (sent to [prefill:2 a:1 prefill:2 a:1]) and passes with it.

--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -101,6 +101,7 @@
 		t.job = *j
 		t.job.credits = 0 // they belong to j
 		t.job.excluded = maps.Clone(j.excluded)
+		delete(t.job.excluded, j.current.ID) // until it is asked
 		t.mu.Lock()
 		t.timer = time.AfterFunc(t.limit, t.check)
 		t.mu.Unlock()
@@ -116,6 +117,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.asked = true
+	if t.timer != nil {
+		t.job.excluded[t.job.current.ID] = true
+	}
 }
 
 // supervises reports whether another target is looked for while there is no progress.
@@ -270,8 +274,6 @@
 	restart := d.restartTime(j)
 	if t.asked {
 		j.markRun(j.current.ID)
-	} else {
-		delete(j.excluded, j.current.ID) // the prompt is still being prefilled
 	}
 	for _, id := range t.ran {
 		j.markRun(id)
--- a/coordination/fleetdispatcher/replacement_test.go
+++ b/coordination/fleetdispatcher/replacement_test.go
@@ -537,3 +537,23 @@
 		})
 	}
 }
+
+// TestRefusingTargetIsAskedOnce guards against retries that are used up by asking the same target
+// again and again while a prefill engine hangs.
+func TestRefusingTargetIsAskedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := &memoryNetwork{targets: map[string]answerFunc{"a:1": writeRefusal, "prefill:1": prefillPrompt, "prefill:2": prefillPrompt}}
+		d := newSilenceDispatcher(n, radishspoke.DecodeRole, 20, 1)
+		d.RelayClient, d.Answers = &pausingRelay{targets: d.Targets, pause: time.Minute, once: true}, noAnswers{}
+		learnFirstEvent(d, 10*time.Millisecond)
+		serveOnce(c, d, n, longPrompt)
+		count := 0
+		for _, address := range n.requests() {
+			if address == "a:1" {
+				count++
+			}
+		}
+		c.Assert(count, qt.Equals, 1, qt.Commentf("sent to %v", n.requests()))
+	})
+}
