--- a/coordination/fleetdispatcher/attempt.go
+++ b/coordination/fleetdispatcher/attempt.go
@@ -291,7 +291,11 @@
 		j.excluded[t.search.target] = true
 		j.markRun(t.search.target)
 	}
-	if !j.idempotent() || len(j.ran) >= j.rule.Attempts && !j.mayReturn() || now+restart >= j.startBy {
+	targets := len(j.ran)
+	if !t.asked {
+		targets++ // the one that this attempt asks later
+	}
+	if !j.idempotent() || targets >= j.rule.Attempts && !j.mayReturn() || now+restart >= j.startBy {
 		return nil
 	}
 	if _, _, refused := d.Quarantine.Refuses(j.subject()); refused || d.checkKey(j) != nil {
