--- a/coordination/fleetdispatcher/doc.go
+++ b/coordination/fleetdispatcher/doc.go
@@ -11,6 +11,11 @@
 // resumable stream that breaks continues at another engine within the same answer,
 // after the last complete event.
 //
+// A target that is silent for a while may go on. Another one is asked beside it, and the
+// attempt at the silent one ends only once the other has begun to answer. By the definition of
+// the platform, a request of an engine starts to run with its first token, so that it does not
+// run at both for longer than the header takes.
+//
 // In answers that the dispatcher generates itself, the status codes 408, 421, 429
 // and 503 state that the request has not run and never will. The codes 502 and
 // 504 state that it may have run.
