Count in the soak the targets that run a request, as the platform does

The check counted executions.

It now counts targets, allows at most two runs at one of them, and as before a single run where the route allows no repeat. TestRunsOfRequest has the cases.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -21,7 +21,7 @@
 // requestKind is a kind of request, for one route.
 type requestKind struct {
 	path       string
-	maxRuns    int  // maximum number of executions
+	maxRuns    int  // maximum number of targets that run a request; with 1, it runs once
 	resumable  bool // the response may be resumed after a part of it
 	streaming  bool // the response is a stream of events
 	longPrompt bool // the prompt is prefilled by a separate engine
--- a/internal/soaker/recorder.go
+++ b/internal/soaker/recorder.go
@@ -58,7 +58,7 @@
 type requestRecord struct {
 	id, team, key, entry string
 	sent                 time.Time
-	maxRuns              int  // maximum number of executions
+	maxRuns              int  // maximum number of targets that run the request; with 1, it runs once
 	status               int  // HTTP status; 0 if no response header was received
 	fromEntry            bool // the entry made the response, not a target
 	complete             bool // the response is complete
@@ -175,8 +175,8 @@
 	findings := r.findings
 	for _, q := range r.requests {
 		runs := r.executions[q.id]
-		if len(runs) > q.maxRuns {
-			findings = append(findings, Finding{"twice", q.id, fmt.Sprintf("request ran %d times, at %v, want at most %d", len(runs), runs, q.maxRuns)})
+		if targets, most := countTargets(runs); targets > q.maxRuns || most > maxRunsAtTarget || q.maxRuns == 1 && len(runs) > 1 {
+			findings = append(findings, Finding{"twice", q.id, fmt.Sprintf("request ran %d times, at %v, want at most %d targets", len(runs), runs, q.maxRuns)})
 		}
 		if q.resumes {
 			r.resumptions[q.status]++
@@ -197,6 +197,21 @@
 	return findings
 }
 
+// maxRunsAtTarget is the maximum number of executions of a request at one target: a request whose
+// target was silent may return there.
+const maxRunsAtTarget = 2
+
+// countTargets returns the number of targets that have run a request, and the maximum number of
+// executions at one of them.
+func countTargets(runs []execution) (targets, most int) {
+	counts := map[string]int{}
+	for _, e := range runs {
+		counts[e.target]++
+		most = max(most, counts[e.target])
+	}
+	return len(counts), most
+}
+
 // ranAt reports whether the target instance has begun to run a request.
 func (r *recorder) ranAt(id, target string) bool {
 	r.mu.Lock()
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -69,6 +69,32 @@
 	c.Assert(r.resumptions, qt.DeepEquals, map[int]int{200: 1, 503: 1, 429: 1})
 }
 
+// TestRunsOfRequest checks that a request that may run at two targets is a finding if it runs at
+// three of them, or more than twice at one, and one that may run once if it runs twice.
+func TestRunsOfRequest(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		maxRuns int
+		targets []string
+		finding bool
+	}{
+		{2, []string{"d1", "d2"}, false},
+		{2, []string{"d1", "d2", "d1"}, false}, // back at the one that was silent
+		{2, []string{"d1", "d2", "d3"}, true},
+		{2, []string{"d1", "d1", "d1"}, true},
+		{1, []string{"d1"}, false},
+		{1, []string{"d1", "d1"}, true},
+		{1, []string{"d1", "d2"}, true},
+	} {
+		r := newRecorder()
+		r.addRequest(requestRecord{id: "r", maxRuns: test.maxRuns, status: 200})
+		for _, target := range test.targets {
+			r.addExecution("r", target)
+		}
+		c.Check(len(r.evaluate()) > 0, qt.Equals, test.finding, qt.Commentf("%+v", test))
+	}
+}
+
 // TestKept checks that only complete answers count whose key was withdrawn after their request
 // had been sent.
 func TestKept(t *testing.T) {
