Reset a connection on which a request is given up that has not arrived

Requests that were given up reached targets 6.2 s after they were sent, when these had left (DRAIN): by an entry that was cut off when it sent them. Cause: after a connection is closed, TCP goes on sending what the other end has not acknowledged. Such a connection is now reset, which drops these bytes.

Open: a reset that a lossy link loses is not sent again, as an end is.

--- a/transport/httpclient/reuse.go
+++ b/transport/httpclient/reuse.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 var errEOF = io.EOF
@@ -29,3 +31,27 @@
 	})
 	return err == nil && empty
 }
+
+// Close closes the connection. If the target has not acknowledged all that was sent, the
+// connection is reset, as the system would otherwise go on sending the rest of a request that was
+// given up.
+func (c *connection) Close() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok && isUnacknowledged(t) {
+		_ = t.SetLinger(0) // fails only if the connection is closed already
+	}
+	return c.Conn.Close()
+}
+
+// isUnacknowledged returns whether bytes that were written to a connection have not been
+// acknowledged by the other end.
+func isUnacknowledged(t *net.TCPConn) bool {
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	bytes := 0
+	if raw.Control(func(fd uintptr) { bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) != nil {
+		return false
+	}
+	return err == nil && bytes > 0
+}
