--- a/review/1/drill/main.go
+++ b/review/1/drill/main.go
@@ -53,7 +53,7 @@
 	}
 	processes := map[string]*harness.Process{}
 	for _, name := range []string{"front-a-1", "front-b-1"} {
-		h, err := d.AddFront(name, name[6:7], true)
+		h, err := d.AddFront(name, name[6:7], 0)
 		if err != nil {
 			return false, err
 		}
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -tags review -o target/review/ ./review/1/drill
+go build -tags review -o target/review/ ./review/1/drill ./review/2/manifest
--- a/review/harness/process.go
+++ b/review/harness/process.go
@@ -117,9 +117,18 @@
 	firstPort = 17500
 )
 
-// AddFront adds a host for an entry.
-func (d *Deployment) AddFront(name, zone string, first bool) (*Host, error) {
+// AddFront adds a host for an entry. If mbps is not 0, the bytes from the store pass a link of
+// that rate.
+func (d *Deployment) AddFront(name, zone string, mbps float64) (*Host, error) {
 	d.hosts++
+	store, rate := d.storeAddress, 1000.0
+	if mbps > 0 {
+		var err error
+		if store, err = newLink(d.storeAddress, mbps); err != nil {
+			return nil, err
+		}
+		rate = mbps
+	}
 	h := &Host{Name: name, IP: fmt.Sprintf("%s.%d", d.subnet, d.hosts), FirstPort: firstPort, deployment: d, role: "entry"}
 	h.Front, h.Ready = fmt.Sprintf("%s:%d", h.IP, frontPort), fmt.Sprintf("%s:%d", h.IP, readyPort)
 	text := fmt.Sprintf(`Node: %q
@@ -132,8 +141,8 @@
 Zones: {a: "one", b: "one", c: "one"}
 Listen: {Front: %q, Ready: %q}
 PortRange: [%d, %d]
-Bootstrap: %t
-Limits: {CpuShare: 0.304, Cores: 1, MemoryMb: 284, MaxFds: 4100, LinkMbps: 1000.0, DiskMb: 0}
+Bootstrap: true
+Limits: {CpuShare: 0.304, Cores: 1, MemoryMb: 284, MaxFds: 4100, LinkMbps: %.1f, DiskMb: 0}
 DataDir: null
 Discovery: "platform"
 Entry: "vip"
@@ -141,7 +150,7 @@
 FaultTolerance: {Machines: 2, Zones: 0, Regions: 0}
 %sPlatform: {Address: %q, form: "table", WritesPerS: 400, ReadsPerS: 2000, TxMs: 5.0, PartWritesS: 200, RowBytes: 65536, Across: false, HistoryS: 20}
 Cloud: {Address: %q, RatePerS: 50.0, Duties: ["usage"], DutyPerS: 50.0}
-`, name, h.IP, zone, h.Front, h.Ready, firstPort, firstPort+15, first, bounds, d.storeAddress, d.cloudAddress)
+`, name, h.IP, zone, h.Front, h.Ready, firstPort, firstPort+15, rate, bounds, store, d.cloudAddress)
 	h.settings = filepath.Join(d.folder, name+".yaml")
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
