--- a/review/1/drill/main.go
+++ b/review/1/drill/main.go
@@ -119,7 +119,7 @@
 			continue
 		}
 		for range 10 {
-			counts[harness.Send(ctx, h.Front, "GET", "/puxa403/2f", harness.NextID())]++
+			counts[harness.Send(ctx, r, h, "GET", "/puxa403/2f")]++
 			time.Sleep(sendInterval)
 		}
 	}
--- a/review/harness/consumer.go
+++ b/review/harness/consumer.go
@@ -42,13 +42,18 @@
 	return map[string]any{"Name": name, "HealthPath": "/health", "MaxConnections": 110, "Protocol": "h1", "Tls": false}
 }
 
-var requests atomic.Int64
-
-// NextID returns a new request id.
-func NextID() string { return fmt.Sprintf("%016x", requests.Add(1)) }
+var requests atomic.Int64 // number of requests, from which ids are made
 
 // Send sends one request over a new channel and returns its status, or 0 without an answer.
-func Send(ctx context.Context, front, method, path, id string) int {
+func Send(ctx context.Context, r *Record, h *Host, method, path string) int {
+	id := fmt.Sprintf("%016x", requests.Add(1))
+	r.Printf("consumer: request %s sent to %s: %s %s", id, h.Name, method, path)
+	status := send(ctx, h.Front, method, path, id)
+	r.Printf("consumer: request %s answered by %s with status %d", id, h.Name, status)
+	return status
+}
+
+func send(ctx context.Context, front, method, path, id string) int {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+front+path, nil)
--- a/review/harness/process.go
+++ b/review/harness/process.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,7 +41,10 @@
 		return nil, fmt.Errorf("create folder: %w", err)
 	}
 	d := &Deployment{Record: r, Store: NewStore(r), Cloud: NewCloud(r), folder: folder}
-	d.subnet = fmt.Sprintf("127.%d.%d", 16+os.Getpid()%200, 1+os.Getpid()/200%250)
+	if d.subnet, err = freeSubnet(); err != nil {
+		return nil, err
+	}
+	d.closeOnSignal()
 	for _, s := range []struct {
 		address *string
 		handler http.Handler
@@ -54,6 +59,49 @@
 	return d, nil
 }
 
+// hostsChecked is the number of hosts of a subnet whose ports must be free.
+const hostsChecked = 3
+
+// errNoPorts is returned if no subnet of loopback addresses has free ports.
+var errNoPorts = errors.New("no free ports")
+
+// freeSubnet returns the first three numbers of loopback addresses on which the ports of all
+// hosts are free.
+func freeSubnet() (string, error) {
+	for try := range 50 {
+		n := os.Getpid() + try*977
+		subnet := fmt.Sprintf("127.%d.%d", 16+n%200, 1+n/200%250)
+		if isFree(subnet) {
+			return subnet, nil
+		}
+	}
+	return "", errNoPorts
+}
+
+func isFree(subnet string) bool {
+	for host := 1; host <= hostsChecked; host++ {
+		for _, port := range []string{metricsPort, strconv.Itoa(frontPort), strconv.Itoa(readyPort), strconv.Itoa(firstPort)} {
+			l, err := net.Listen("tcp", net.JoinHostPort(fmt.Sprintf("%s.%d", subnet, host), port))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+	}
+	return true
+}
+
+// closeOnSignal ends all processes if this one is told to end.
+func (d *Deployment) closeOnSignal() {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-c
+		d.Close()
+		os.Exit(2)
+	}()
+}
+
 // Close kills all processes that were started and removes the folder, except the logs.
 func (d *Deployment) Close() {
 	d.mu.Lock()
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -66,6 +66,7 @@
 		w.Run(rw, r)
 		return
 	}
+	w.record.Printf("worker %s: request %s runs for tenant %s", w.ID, id, r.Header.Get("Radishspoke-Tenant"))
 	_, _ = io.Copy(io.Discard, r.Body)
 	h.Set("Radishspoke-Server-Stamp", "stamp."+id)
 	_, _ = fmt.Fprintf(rw, "answer to %s", id)
