Number leases over all eras of the store, and wait for a lease that a drill has undone

Cause: the epoch was that in the row plus one, and rows come back older than what was acknowledged; a released row, a missing row or one of an earlier process of the same name let another process acquire at once, although the holder that the store had forgotten went on.

Rows and versions are qualified with the era of the store in one place, platform.Table: a write that expects a version of an earlier era is a conflict, a reply of a later era than the versions is no confirmation, and a row that was written in an earlier era is marked as outdated. An elector numbers a lease with the position of the store at its read, which increases over all eras; keeps its own lease in a new era as long as it has not expired, whatever the row says; and takes another one's only after it has seen the outdated row for longer than a lease.

--- a/coordination/elector/acquire.go
+++ b/coordination/elector/acquire.go
@@ -45,13 +45,14 @@
 
 // readRows reads all lease rows and updates the held and the observed leases.
 func (e *Elector) readRows(ctx context.Context) error {
-	rows, err := e.table.List(ctx, Prefix)
+	rows, at, err := radishspoke.ListAt(ctx, e.table, Prefix)
 	if err != nil {
 		return fmt.Errorf("read leases: %w", err)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
+	e.readAt = at
 	present := map[string]bool{}
 	for _, r := range rows {
 		n := r.Key[len(Prefix):]
@@ -62,36 +63,65 @@
 			continue
 		}
 		if h, ok := e.held[n]; ok {
-			e.reconcile(n, h, l, r.Version)
+			e.reconcile(n, h, l, r)
 		} else if o, ok := e.observed[n]; !ok || o.version != r.Version {
-			e.observed[n] = &observedLease{lease: l, version: r.Version, since: now}
+			e.observed[n] = &observedLease{lease: l, version: r.Version, outdated: r.Outdated, since: now}
 		}
 	}
+	e.dropAbsent(present)
+	return nil
+}
+
+// dropAbsent forgets observed leases whose rows do not exist any more. In an era of the store
+// after the first, a held lease whose row does not exist is kept like one whose row is outdated.
+func (e *Elector) dropAbsent(present map[string]bool) {
 	for n, o := range e.observed {
-		if !present[n] && o.version > 0 {
+		if !present[n] && o.version != e.readAt.Absent() {
 			delete(e.observed, n)
 		}
 	}
-	return nil
+	for n, h := range e.held {
+		if !present[n] && e.readAt.Era > 0 {
+			e.keep(n, h, e.readAt.Absent())
+		}
+	}
 }
 
 // reconcile compares a held lease with its row. It drops the lease if the row is
-// no longer that of this holder and epoch, and restores the version of the row if
-// it is unknown.
-func (e *Elector) reconcile(n string, h *heldLease, l Lease, version int64) {
+// no longer that of this holder and epoch, unless the row is outdated.
+func (e *Elector) reconcile(n string, h *heldLease, l Lease, r radishspoke.Row) {
+	if r.Outdated {
+		e.keep(n, h, r.Version)
+		return
+	}
 	if l.Holder != e.settings.Name || l.Epoch != h.lease.Epoch || l.Released {
 		e.dropLost(n)
 		return
 	}
-	if h.version == versionUnknown {
-		h.version, h.lease.Beat = version, l.Beat
+	h.version, h.lease.Beat = r.Version, l.Beat
+}
+
+// keep keeps a held lease in a new era of the store, in which its row does not tell who
+// holds it, so that the next renewal writes the row anew. The lease is dropped if it has
+// expired, as another process may have held it since. No process can have acquired a
+// lease that has not expired: they all wait for longer after they have first read the row
+// in the new era.
+func (e *Elector) keep(n string, h *heldLease, version int64) {
+	if e.clock.Now() >= h.until {
+		e.dropLost(n)
+		return
+	}
+	if h.version != version {
+		e.log.Warn("lease kept in a new era of the store", "lease", n, "epoch", h.lease.Epoch, "era", e.readAt.Era)
 	}
+	h.version = version
 }
 
 // free returns the names of the wanted leases that this process may acquire now.
 // These are the leases that no other process can still hold, according to the
 // rows last read, and that have been free long enough for the rank of this
-// process.
+// process. An outdated row does not tell that a lease was released, or that its last
+// holder was an earlier process of this name.
 func (e *Elector) free(want map[string]int) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -103,13 +133,13 @@
 		}
 		o, ok := e.observed[n]
 		if !ok {
-			// A missing row counts as a released one with version 0.
-			o = &observedLease{since: now, lease: Lease{Released: true}}
+			// A missing row counts as a released one.
+			o = &observedLease{since: now, lease: Lease{Released: true}, version: e.readAt.Absent(), outdated: e.readAt.Era > 0}
 			e.observed[n] = o
 		}
 		wait := time.Duration(rank) * e.settings.Duration
 		ownEarlier := e.settings.Exclusive && o.lease.Holder == e.settings.Name
-		if !o.lease.Released && !ownEarlier {
+		if o.outdated || !o.lease.Released && !ownEarlier {
 			wait += e.settings.Duration + e.settings.Margin
 		}
 		if now-o.since >= wait {
@@ -120,24 +150,23 @@
 	return out
 }
 
-// acquire acquires one lease with the next epoch.
+// acquire acquires one lease with the next epoch. The epoch is higher than all that were
+// given out before, in this era of the store or an earlier one: it is higher than the number
+// of the position at which the row was read, and each acquisition has a later position.
 func (e *Elector) acquire(ctx context.Context, n string) error {
 	e.mu.Lock()
-	l := Lease{Holder: e.settings.Name, Address: e.settings.Address, Epoch: 1, Beat: 1}
-	version := int64(0)
-	if old, ok := e.observed[n]; ok {
-		l.Epoch, version = old.lease.Epoch+1, old.version
-	}
+	old := e.observed[n]
+	l := Lease{Holder: e.settings.Name, Address: e.settings.Address, Epoch: max(old.lease.Epoch, e.readAt.Number()) + 1, Beat: 1}
 	e.mu.Unlock()
 	sent := e.clock.Now()
-	err := e.table.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: Prefix + n, Value: encode(l), Version: version})
+	err := e.table.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: Prefix + n, Value: encode(l), Version: old.version})
 	if err != nil {
 		return fmt.Errorf("acquire lease %s: %w", n, err)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.observed, n)
-	e.held[n] = &heldLease{lease: l, version: version + 1, until: e.expiry(sent)}
-	e.log.Info("lease acquired", "lease", n, "epoch", l.Epoch)
+	e.held[n] = &heldLease{lease: l, version: old.version + 1, until: e.expiry(sent)}
+	e.log.Info("lease acquired", "lease", n, "epoch", l.Epoch, "outdated", old.outdated, "previous_holder", old.lease.Holder)
 	return nil
 }
--- a/coordination/elector/doc.go
+++ b/coordination/elector/doc.go
@@ -1,14 +1,20 @@
 // Package elector holds leases in the table service of the platform.
 //
-// A lease is a row with its holder, an epoch that increases by one with each
-// acquisition, and a beat that increases by one with each renewal. A process
-// renews all rows that it holds in one conditional transaction. The holder
-// counts its lease from before it sent the renewal, on a clock that does not
-// stop while the host is suspended. Another process may acquire a lease after
-// it has seen the same version of the row for longer than the lease and a
-// margin. Leases expire while the table service is unreachable. In radishspoke's
-// own deployment, rights that must stay held in that time are granted by package
-// voter.
+// A lease is a row with its holder, an epoch that increases with each acquisition,
+// and a beat that increases by one with each renewal. A process renews all rows that
+// it holds in one conditional transaction. The holder counts its lease from before it
+// sent the renewal, on a clock that does not stop while the host is suspended. Another
+// process may acquire a lease after it has seen the same version of the row for longer
+// than the lease and a margin. Leases expire while the table service is unreachable. In
+// radishspoke's own deployment, rights that must stay held in that time are granted by
+// package voter.
+//
+// A store that comes back from an older copy begins a new era, in which rows may be
+// older than what it has acknowledged. A lease that has not expired is then kept, and its
+// row written anew, whatever it says. Another process may acquire a lease only after it has
+// seen its row, or its absence, for longer than the lease and a margin in the new era, even
+// if the row says that the lease was released. Epochs are numbered by the position of the
+// store at which the row was read, so that they increase over all eras.
 //
 // The method is that of Gray and Cheriton, "Leases", 1989. The epoch serves as
 // fencing token.
--- a/coordination/elector/elector.go
+++ b/coordination/elector/elector.go
@@ -74,9 +74,10 @@
 // observedLease is a lease row as last read, of a lease that this process does
 // not hold.
 type observedLease struct {
-	lease   Lease
-	version int64
-	since   time.Duration // time at which this version was first read
+	lease    Lease
+	version  int64
+	outdated bool          // an acquisition or renewal that came later may be lost
+	since    time.Duration // time at which this version was first read
 }
 
 // WantedFunc returns the names of the leases that this process may hold, each
@@ -113,6 +114,7 @@
 	mu       sync.Mutex
 	held     map[string]*heldLease
 	observed map[string]*observedLease
+	readAt   radishspoke.StorePosition // of the store when the rows were last read, or later
 }
 
 // New returns an Elector that holds no lease.
--- a/coordination/elector/elector_test.go
+++ b/coordination/elector/elector_test.go
@@ -32,6 +32,8 @@
 
 func (s *store) Now() time.Duration { return s.now }
 
+func (s *store) History() radishspoke.History { return radishspoke.History{} }
+
 func (s *store) List(_ context.Context, prefix string) ([]radishspoke.Row, error) {
 	s.now += s.slow
 	if s.outage {
--- a/coordination/elector/renew.go
+++ b/coordination/elector/renew.go
@@ -14,13 +14,13 @@
 )
 
 // versionUnknown is the version of a held row after the reply to its renewal was
-// lost.
+// lost, or the era of the store has ended meanwhile.
 const versionUnknown = -1
 
 // renew writes all held rows in one transaction. After a conflict it writes each
 // row separately, to find out which leases are lost.
 func (e *Elector) renew(ctx context.Context, want map[string]int) error {
-	if e.anyVersionUnknown() {
+	if e.anyVersionInvalid() {
 		if err := e.readRows(ctx); err != nil {
 			return err
 		}
@@ -44,12 +44,14 @@
 	return nil
 }
 
-// anyVersionUnknown returns whether the version of any held row is unknown.
-func (e *Elector) anyVersionUnknown() bool {
+// anyVersionInvalid returns whether the version of any held row is unknown or from an
+// earlier era of the store.
+func (e *Elector) anyVersionInvalid() bool {
+	era := e.table.History().Position.Era
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, h := range e.held {
-		if h.version == versionUnknown {
+		if h.version == versionUnknown || radishspoke.PositionOf(h.version).Era != era {
 			return true
 		}
 	}
@@ -61,15 +63,17 @@
 // release.
 func (e *Elector) write(ctx context.Context, names []string, want map[string]int) error {
 	sent := e.clock.Now()
+	era := e.table.History().Position.Era
 	next, writes := e.prepare(names, want)
 	err := e.table.Commit(ctx, uuid.NewString(), writes...)
+	eraEnded := e.table.History().Position.Era != era
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
 	case err == nil:
 		e.applyRenewal(next, sent)
 		return nil
-	case !errors.Is(err, radishspoke.ErrConflict):
+	case eraEnded, !errors.Is(err, radishspoke.ErrConflict):
 		e.markVersionsUnknown(next)
 	case len(names) == 1:
 		e.dropLost(names[0])
--- a/platform.go
+++ b/platform.go
@@ -22,10 +22,19 @@
 
 // Row is one row in the table service of the platform.
 type Row struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value"`
-	Version int64  `json:"version"` // incremented by each write; 0 for a row that does not exist
-	WriteID string `json:"write"`   // ID of the write that created this version
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+
+	// Version is incremented by each write. That of a row that does not exist is
+	// StorePosition.Absent, which is 0 in the first era of the store. Versions that were
+	// read in different eras are never equal.
+	Version int64  `json:"version"`
+	WriteID string `json:"write"` // ID of the write that created this version
+
+	// Outdated is set if the row was written in an earlier era of the store than that in
+	// which it was read, or does not exist in an era after the first. What was written
+	// later in the earlier era may be lost: the row does not prove that nothing was.
+	Outdated bool `json:"-"`
 }
 
 // Write is one conditional write in a transaction.
@@ -33,15 +42,17 @@
 	Key   string `json:"key"`
 	Value []byte `json:"value"`
 
-	// Version is the version that the row must have. A version of 0 means
-	// that the row must not exist.
+	// Version is the version that the row must have, as it was read. A version of 0, or
+	// StorePosition.Absent, means that the row must not exist. The write is a conflict
+	// if the store is in another era than when the version was read.
 	Version int64 `json:"version"`
 }
 
 // Table is the transactional table service of the platform.
 type Table interface {
 	// Read returns the row with the given key. The error is ErrNotFound or
-	// ErrUnavailable.
+	// ErrUnavailable. With ErrNotFound, the row has the version that a write of it
+	// expects.
 	Read(ctx context.Context, key string) (Row, error)
 
 	// List returns the rows whose keys start with prefix, sorted by key.
@@ -51,6 +62,9 @@
 	// ErrUnavailable if it is unknown whether the writes were applied. Another
 	// Commit with the same id has no further effect.
 	Commit(ctx context.Context, id string, writes ...Write) error
+
+	// History returns what is known of the history of the store.
+	History() History
 }
 
 // Objects is the object store of the platform.
--- a/routing.go
+++ b/routing.go
@@ -107,14 +107,6 @@
 	Keys []string
 }
 
-// StorePosition is a position in the history of the platform's store.
-type StorePosition struct {
-	// Era is the number of times that the store has come back from an older copy.
-	// Versions of an era may be given out again in the next one.
-	Era     int64
-	Version int64 // of the store, within its era
-}
-
 // RoutingTable is one version of the operators' routes, groups and teams.
 type RoutingTable struct {
 	Version int64
--- a/state/storer/storer.go
+++ b/state/storer/storer.go
@@ -55,6 +55,9 @@
 	return r, nil
 }
 
+// History returns the zero History, as the platform loses nothing that it has acknowledged.
+func (c *Client) History() radishspoke.History { return radishspoke.History{} }
+
 // List returns the rows whose keys start with prefix.
 func (c *Client) List(ctx context.Context, prefix string) ([]radishspoke.Row, error) {
 	var rows []radishspoke.Row
