Report no window that may have been reported before a drill

Cause: a window after that in the frozen row counted as never reported, and the frozen row as reported by its holder; a drill takes the row back. Versions are given out again, so nothing in the store tells what was reported.

A holder that reads an outdated row, or none, at the begin of its tenure reports only windows that are not due yet, and says in the log which it left out. A holder whose tenure began before the drill knows what it reported, and goes on with the next window.

--- a/coordination/biller/biller.go
+++ b/coordination/biller/biller.go
@@ -65,6 +65,10 @@
 	// second. A process may use 10 KB/s for all control traffic.
 	saveRate = 5 << 10
 
+	// clockMargin bounds the difference between the times of day of two processes, which
+	// derive them from the clock of the store.
+	clockMargin = time.Second
+
 	// maxRowBytes is the length of the longest row that is saved. The
 	// platform accepts 64 KiB, with the value encoded in base64.
 	maxRowBytes = 44 << 10
@@ -110,8 +114,10 @@
 
 	frozenWindow  *frozenWindow // as this process wrote or read it; nil if there is none
 	frozenVersion int64         // of the row frozenKey
-	epoch         int64         // of the lease under which the row was read
+	epoch         int64         // of the lease under which the row was read, or 0 if it must be read again
+	followed      int64         // epoch of the lease since whose acquisition this process knows all reports
 	reported      bool          // whether frozenWindow was reported successfully
+	skipped       int64         // newest window that is not reported because it may have been already
 
 	// rowMu guards the fields below, as SaveOnStop may write this process's
 	// row while Step does.
@@ -256,6 +262,7 @@
 		if b.frozenWindow != nil {
 			next = max(b.frozenWindow.Window+1, due-b.settings.Kept)
 		}
+		next = max(next, b.skipped+1)
 		if next > due {
 			return b.save(ctx, at)
 		}
@@ -268,29 +275,51 @@
 	}
 }
 
-// readFrozen reads the frozen row if this process has not read it in this epoch
-// of the lease.
+// readFrozen reads the frozen row if this process has not read it in this epoch of the lease
+// and this era of the store.
 func (b *Biller) readFrozen(ctx context.Context, epoch int64) error {
-	if b.epoch == epoch {
+	if b.epoch == epoch && radishspoke.PositionOf(b.frozenVersion).Era == b.table.History().Position.Era {
 		return nil
 	}
 	r, err := b.table.Read(ctx, frozenKey)
+	var f *frozenWindow
 	switch {
 	case errors.Is(err, radishspoke.ErrNotFound):
-		b.frozenWindow, b.frozenVersion = nil, 0
 	case err != nil:
 		return fmt.Errorf("read frozen usage: %w", err)
 	default:
-		f := &frozenWindow{}
+		f = &frozenWindow{}
 		if err := json.Unmarshal(r.Value, f); err != nil {
 			return fmt.Errorf("decode frozen usage: %w", err)
 		}
-		b.frozenWindow, b.frozenVersion = f, r.Version
 	}
-	b.reported, b.epoch = false, epoch
+	switch {
+	case !r.Outdated:
+		b.frozenWindow, b.reported = f, false
+	case b.followed != epoch:
+		b.skip(f)
+	default: // the window that this process froze is the newest one, whatever the row says
+	}
+	b.frozenVersion, b.followed, b.epoch = r.Version, epoch, epoch
 	return nil
 }
 
+// skip handles the content of an outdated row, or its absence, at the begin of a tenure. Windows
+// that are due may have been frozen and reported by an earlier holder, with counts that
+// are lost, and what the row holds may have been written late, by a holder that did
+// not report it. None of them is reported: a missing report can be corrected, but not two
+// that differ.
+func (b *Biller) skip(f *frozenWindow) {
+	at, _ := b.now()
+	b.frozenWindow, b.reported = f, true
+	b.skipped = b.window(at.Add(clockMargin-b.settings.Settle)) - 1
+	newest := int64(-1)
+	if f != nil {
+		newest = f.Window
+	}
+	b.log.Warn("usage not reported, as the store has lost whether it was", "after", newest, "through", b.skipped)
+}
+
 // freeze adds up the counts of a window and writes them to the frozen row.
 func (b *Biller) freeze(ctx context.Context, w int64) error {
 	f := &frozenWindow{Window: w, Counts: b.sum(w)}
--- a/coordination/biller/doc.go
+++ b/coordination/biller/doc.go
@@ -8,6 +8,10 @@
 // the lease first reports the frozen counts again, and only then freezes the
 // next window. No window can be reported with two different counts.
 //
+// If the store has come back from an older copy, the frozen row does not tell what was
+// reported since. A holder whose lease has lasted from before knows, and goes on. Another
+// one reports only windows that were not yet due when it read the row.
+//
 // The package runs on an external platform. Its counterparts in radishspoke's own
 // deployment are meter and reporter, which bill tokens instead of requests.
 package biller
--- a/coordination/biller/row.go
+++ b/coordination/biller/row.go
@@ -68,7 +68,7 @@
 			b.rowVersion = r.Version
 			b.mergePart(r)
 		case errors.Is(err, radishspoke.ErrNotFound):
-			b.rowVersion = 0
+			b.rowVersion = r.Version
 		default:
 			return fmt.Errorf("read saved usage: %w", err)
 		}
