Give no incarnation of an entry out twice after a drill

After the store has come back from an older copy, an entry that restarts got the incarnation of an earlier lifetime, whose charges and counts were then taken for its own; one that ran on got another one and counted twice, or a lower one, and its datagrams were ignored. Now it follows the position of the store, a process that runs keeps its own, an outdated row does not replace what a live peer says, and the rows are read again as soon as an era ends.

On the code before, TestIncarnationAfterDrill sees 2 where 3 is expected and TestOutdatedRowOfPeer loses the peer. TestDiscovery now asks for a higher incarnation after a restart and not for the numbers 1 and 2.

--- a/state/gossiper/discovery.go
+++ b/state/gossiper/discovery.go
@@ -20,6 +20,7 @@
 // intervals until ctx ends.
 func (g *Gossiper) RunDiscovery(ctx context.Context) {
 	for ctx.Err() == nil {
+		ended := g.table.History().Ended
 		err := g.discover(ctx)
 		if err != nil && ctx.Err() == nil {
 			g.log.Warn("peer discovery failed", "error", err)
@@ -28,33 +29,35 @@
 		if err != nil || g.clock.Now()-g.created < startPeriod {
 			pause = startInterval
 		}
-		g.await(ctx, pause)
+		g.await(ctx, pause, ended)
 	}
 }
 
-// await returns after pause, startInterval after a datagram from an unknown peer,
-// or when ctx ends.
-func (g *Gossiper) await(ctx context.Context, pause time.Duration) {
+// await returns after pause, startInterval after a datagram from an unknown peer, when
+// the era of the store has ended, or when ctx ends.
+func (g *Gossiper) await(ctx context.Context, pause time.Duration, ended <-chan struct{}) {
 	t := time.NewTimer(pause)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-t.C:
+	case <-ended:
 	case <-g.unknownPeer:
 		ticker.Sleep(ctx, startInterval) // other peers may be starting as well
 	}
 }
 
 // discover reads the rows of all entries once and marks those of silent peers as
-// left. It writes the row of this process with the next incarnation if the row has
-// not been written since the start, or was marked as left.
+// left. It writes the row of this process if that has not been written since the start,
+// was marked as left, or is older than this process because the store has come back from
+// an older copy.
 func (g *Gossiper) discover(ctx context.Context) error {
-	rows, err := g.table.List(ctx, prefix)
+	rows, at, err := radishspoke.ListAt(ctx, g.table, prefix)
 	if err != nil {
 		return fmt.Errorf("list peers: %w", err)
 	}
 	var own row
-	version := int64(0)
+	version := at.Absent()
 	var silent []radishspoke.Row
 	g.mu.Lock()
 	now := g.clock.Now()
@@ -69,11 +72,14 @@
 			own, version = content, r.Version
 			continue
 		}
+		p, ok := g.peers[name]
+		if r.Outdated && ok && now-p.receivedAt <= g.settings.ForgetAfter {
+			continue // what the peer says itself is newer
+		}
 		if content.Left {
 			delete(g.peers, name)
 			continue
 		}
-		p, ok := g.peers[name]
 		if !ok || p.incarnation < content.Incarnation {
 			g.log.Info("peer discovered", "peer", name, "address", content.Address, "incarnation", content.Incarnation)
 			p = &peer{incarnation: content.Incarnation, receivedAt: now}
@@ -93,7 +99,7 @@
 	if g.announced(own) {
 		return nil
 	}
-	own = row{Address: g.settings.Address, Incarnation: own.Incarnation + 1}
+	own = row{Address: g.settings.Address, Incarnation: g.nextIncarnation(own, at)}
 	if err := g.write(ctx, prefix+g.settings.Process, version, own); err != nil {
 		return err
 	}
@@ -103,6 +109,19 @@
 	return nil
 }
 
+// nextIncarnation returns the incarnation with which this process is announced, where r is its
+// row, read at a position. It is the present one if the row is older, as a change would make
+// what it has counted count twice. Otherwise it is higher than all that were given out
+// before, also by writes that the store has lost.
+func (g *Gossiper) nextIncarnation(r row, at radishspoke.StorePosition) uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.incarnation > r.Incarnation {
+		return g.incarnation
+	}
+	return max(r.Incarnation, uint64(at.Number())) + 1
+}
+
 // maxIncarnation bounds the incarnation in a row, which increases with each start.
 const maxIncarnation = math.MaxInt64
 
--- a/state/gossiper/gossiper.go
+++ b/state/gossiper/gossiper.go
@@ -197,8 +197,7 @@
 }
 
 // Incarnation returns the number of this process's current incarnation, or 0 until
-// its row has been written. It increases by one whenever the process writes its
-// row.
+// its row has been written. It increases with each start of the process.
 func (g *Gossiper) Incarnation() uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
