Restore the zero of the store's clock after a drill

A drill can undo the row with the zero of the store's clock. A process that started then derived another one from its host's time of day, and the windows of usage differed between processes. Entries read the row in each era, write it again if they know it, and leave that to others for 3 s if they do not. Entries log that the store has come back, and have a gauge of the era.

--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -247,6 +247,7 @@
 	e.run(func() { e.relayClient.Run(ctx, timers) })
 	e.run(func() { e.elector.Run(ctx, timers) })
 	e.run(func() { e.reportUsage(ctx, timers) })
+	e.run(func() { e.logEras(ctx) })
 	e.run(func() { e.closeIdle(ctx, timers) })
 	e.run(func() { ticker.Each(ctx, timers, retryLogInterval, func() { e.retries.log(e.env.Log) }) })
 	e.run(func() { e.notifySidecars(ctx, timers) })
@@ -271,6 +272,7 @@
 	})
 	e.recorder.Gauge("config_version_reported", func() float64 { return float64(e.watcher.Reported()) })
 	e.recorder.Gauge("config_proof_age_seconds", func() float64 { return (e.env.Clock.Now() - e.watcher.Proof()).Seconds() })
+	e.recorder.Gauge("store_era", func() float64 { return float64(e.table.History().Position.Era) })
 	e.recorder.Gauge("targets_listed", func() float64 { return float64(len(e.watcher.Instances())) })
 	e.recorder.Gauge("peers_live", func() float64 {
 		n := 0
@@ -413,17 +415,16 @@
 
 // reportUsage reports usage periodically until ctx is done. Reporting starts once
 // the process knows the time of day at which the store's clock was zero, from which
-// the billing windows are derived.
+// the billing windows are derived. It reads that again in each era of the store.
 func (e *FleetEntry) reportUsage(ctx context.Context, t radishspoke.Timers) {
-	synced := false
+	synced := int64(-1) // era of the store in which the zero was read
 	ticker.Each(ctx, t, usageInterval, func() {
-		if !synced {
-			err := e.storeTime.SyncZero(ctx)
-			synced = err == nil
-			if err != nil {
+		if era := e.table.History().Position.Era; synced != era {
+			if err := e.storeTime.SyncZero(ctx); err != nil {
 				e.env.Log.Debug("time of day is not known yet", "error", err)
+				return
 			}
-			return
+			synced = era
 		}
 		if err := e.biller.Step(ctx); err != nil {
 			e.env.Log.Warn("usage not reported", "error", err)
@@ -431,6 +432,19 @@
 	})
 }
 
+// logEras logs each return of the store from an older copy until ctx is done.
+func (e *FleetEntry) logEras(ctx context.Context) {
+	for {
+		h := e.table.History()
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.Ended:
+			e.env.Log.Warn("store has come back from an older copy", "after", h.Position.Version, "era", e.table.History().Position.Era)
+		}
+	}
+}
+
 // entryCount returns the number of entries, this one included, or 0 if their rows have not
 // been read since the start.
 func (e *FleetEntry) entryCount() int {
--- a/state/timekeeper/timekeeper.go
+++ b/state/timekeeper/timekeeper.go
@@ -37,8 +37,13 @@
 	maxError time.Duration // of offset
 	readAt   time.Duration // when offset was determined, on this process's clock
 	zero     time.Time     // time of day at the zero of the store's clock
+	missing  time.Duration // when the row was first found missing in an era after the first, or 0
 }
 
+// restoreTime is how long a process that does not know the zero leaves it to others to write
+// a row again that the store has lost.
+const restoreTime = 3 * time.Second
+
 // New returns a Timekeeper that does not know the time of day yet. It needs a
 // reading from Observe and a successful call of SyncZero.
 func New(t radishspoke.Table, c radishspoke.Clock) *Timekeeper {
@@ -78,11 +83,12 @@
 // SyncZero reads the time of day at the zero of the store's clock. If no
 // process has written it yet, SyncZero derives it from this host's time of day,
 // writes it and returns an error. It writes nothing before the first call of
-// Observe. It must be called until it returns nil.
+// Observe. It must be called until it returns nil, and again in each era of the store,
+// which may have lost the row: a process that knows the zero then writes it again.
 func (t *Timekeeper) SyncZero(ctx context.Context) error {
 	r, err := t.table.Read(ctx, rowKey)
 	if errors.Is(err, radishspoke.ErrNotFound) {
-		return t.writeZero(ctx)
+		return t.writeZero(ctx, r)
 	}
 	if err != nil {
 		return fmt.Errorf("read zero of the store's clock: %w", err)
@@ -100,22 +106,39 @@
 // errReread reports that the row has to be read again.
 var errReread = errors.New("zero of the store's clock has to be read again")
 
-// writeZero writes the row on condition that there is none yet. It always returns
-// an error, as the row is used only once it has been read.
-func (t *Timekeeper) writeZero(ctx context.Context) error {
-	t.mu.Lock()
-	zero := time.Now().Add(-t.clock.Now() - t.offset)
-	observed := t.observed
-	t.mu.Unlock()
-	if !observed {
+// writeZero writes the row on condition that there is none yet, where r is the missing row.
+// It always returns an error, as the row is used only once it has been read.
+func (t *Timekeeper) writeZero(ctx context.Context, r radishspoke.Row) error {
+	zero, ok := t.nextZero(r.Outdated)
+	if !ok {
 		return errReread
 	}
 	data, err := json.Marshal(row{Zero: zero.UnixMilli()})
 	if err != nil {
 		return fmt.Errorf("encode zero of the store's clock: %w", err)
 	}
-	if err := t.table.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: rowKey, Value: data}); err != nil {
+	if err := t.table.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: rowKey, Value: data, Version: r.Version}); err != nil {
 		return fmt.Errorf("write zero of the store's clock: %w", err)
 	}
 	return errReread
 }
+
+// nextZero returns the zero that this process writes, and whether it should write one. The
+// parameter lost is set if the store may have lost the row.
+func (t *Timekeeper) nextZero(lost bool) (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	switch {
+	case !t.zero.IsZero():
+		return t.zero, true
+	case !t.observed:
+		return time.Time{}, false
+	case lost && t.missing == 0:
+		t.missing = now
+		return time.Time{}, false
+	case lost && now-t.missing < restoreTime:
+		return time.Time{}, false
+	}
+	return time.Now().Add(-now - t.offset), true
+}
