Save counts of usage again after a drill

Counts that were saved are lost in a drill, and were saved again only once they had changed; a process that knew of the row's version had a conflict first. They are saved again in each era of the store, with the version read anew. On the code before, TestCountsSavedAfterDrill finds a row without counts.

--- a/coordination/biller/biller.go
+++ b/coordination/biller/biller.go
@@ -123,6 +123,7 @@
 	// row while Step does.
 	rowMu      sync.Mutex
 	lastSaved  string    // content of the row that was saved last
+	savedEra   int64     // era of the store in which it was saved
 	nextSave   time.Time // time from which on the row may be saved again
 	rowVersion int64     // version of this process's row; 0 if there is none
 	rowKnown   bool      // whether rowVersion is known
--- a/coordination/biller/biller_test.go
+++ b/coordination/biller/biller_test.go
@@ -67,8 +67,13 @@
 
 // billerOf returns the biller of one incarnation of a process.
 func (h *harness) billerOf(name string, n uint64) *biller.Biller {
+	return h.billerOn(h.table(), name, n)
+}
+
+// billerOn returns the biller of one incarnation of a process with the given table.
+func (h *harness) billerOn(table radishspoke.Table, name string, n uint64) *biller.Biller {
 	return biller.New(biller.Settings{Window: 5 * time.Second, Settle: 1500 * time.Millisecond},
-		func() (string, uint64) { return name, n }, h.table(), h.reporter,
+		func() (string, uint64) { return name, n }, table, h.reporter,
 		func() (time.Time, bool) { return h.now, true },
 		func() (int64, bool) { return h.epoch, h.holder == name }, slog.New(slog.DiscardHandler))
 }
--- a/coordination/biller/drill_test.go
+++ b/coordination/biller/drill_test.go
@@ -95,3 +95,24 @@
 	h.stepUntil(c, 12*time.Second, b)
 	c.Assert(h.reporter.got, qt.DeepEquals, []string{"1 0 map[t:5]", "2 1 map[]"})
 }
+
+// TestCountsSavedAfterDrill guards against counts that the store has lost in a drill, and that
+// are not saved again until they change: they are gone if every process is killed.
+func TestCountsSavedAfterDrill(t *testing.T) {
+	c := qt.New(t)
+	h := newHarness(c)
+	table := h.table()
+	a := h.billerOn(table, "a", incarnation)
+	h.stepUntil(c, 7*time.Second, a)
+	copied := h.store.Backup()
+	a.Begun("t") // in window 1
+	h.stepUntil(c, 9*time.Second, a)
+	h.store.Restore(copied)
+	_, err := table.List(c.Context(), "none/") // tells the process of the era
+	c.Assert(err, qt.IsNil)
+	h.stepUntil(c, 11*time.Second, a)
+	rows, err := h.table().List(c.Context(), "usage/part/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(rows, qt.HasLen, 1)
+	c.Assert(string(rows[0].Value), qt.Contains, `"a/2":[1]`)
+}
--- a/coordination/biller/row.go
+++ b/coordination/biller/row.go
@@ -95,6 +95,10 @@
 	if at.Before(b.nextSave) {
 		return nil
 	}
+	if era := b.table.History().Position.Era; era != b.savedEra {
+		// The store may have lost what was saved.
+		b.lastSaved, b.savedEra, b.rowKnown = "", era, false
+	}
 	since := b.window(at) - recentWindows
 	if b.frozenWindow != nil {
 		since = max(since, b.frozenWindow.Window+1)
