Tell peers the era of the store in datagrams

An entry that makes no call to the store learned only by its next one, up to 15 s later, that the store had come back from an older copy; if its row was lost, entries that started meanwhile did not know it, and shared the limits without it. Datagrams have the era, and an entry that hears of a later one reads the rows at once. It takes the era itself only from the store.

TestEraOfPeer; without the field the entry waits for an hour there.

--- a/state/gossiper/beacon_test.go
+++ b/state/gossiper/beacon_test.go
@@ -42,7 +42,7 @@
 		c := qt.New(t)
 		clock := ticker.NewMonotonicClock()
 		conn := &sink{beacons: map[string]int{}}
-		g := New(Settings{Process: "me"}, nil, conn, clock, slog.New(slog.DiscardHandler), func(*wire.Gossip) {}, func(Update) {})
+		g := New(Settings{Process: "me"}, newTable("", clock), conn, clock, slog.New(slog.DiscardHandler), func(*wire.Gossip) {}, func(Update) {})
 		g.incarnation = 1
 		for i := range 102 {
 			g.peers[fmt.Sprint("peer", i)] = &peer{incarnation: 1, address: fmt.Sprintf("10.0.0.%d:1", i)}
--- a/state/gossiper/discovery.go
+++ b/state/gossiper/discovery.go
@@ -34,7 +34,7 @@
 }
 
 // await returns after pause, startInterval after a datagram from an unknown peer, when
-// the era of the store has ended, or when ctx ends.
+// the era of the store has ended, also if only a peer has learned that, or when ctx ends.
 func (g *Gossiper) await(ctx context.Context, pause time.Duration, ended <-chan struct{}) {
 	t := time.NewTimer(pause)
 	defer t.Stop()
@@ -42,6 +42,7 @@
 	case <-ctx.Done():
 	case <-t.C:
 	case <-ended:
+	case <-g.laterEra:
 	case <-g.unknownPeer:
 		ticker.Sleep(ctx, startInterval) // other peers may be starting as well
 	}
--- a/state/gossiper/drill_test.go
+++ b/state/gossiper/drill_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"radishspoke"
 	"radishspoke/internal/fake"
 	"radishspoke/internal/simulator"
 	"radishspoke/platform"
@@ -16,6 +17,11 @@
 	"radishspoke/transport"
 )
 
+// newTable returns a table of the store at a URL.
+func newTable(url string, clock radishspoke.Clock) *platform.Table {
+	return platform.NewTable(platform.New(platform.Settings{Store: strings.TrimPrefix(url, "http://")}, &transport.TCP{}, clock))
+}
+
 // TestIncarnationAfterDrill guards against an incarnation that is given out twice, or changes
 // for a process that runs on, after the store has come back from an older copy: what the process
 // has counted is then missed, or counts twice.
@@ -26,8 +32,7 @@
 	c.Cleanup(server.Close)
 	clock := &simulator.ManualClock{At: time.Hour}
 	start := func() *Gossiper {
-		client := platform.New(platform.Settings{Store: strings.TrimPrefix(server.URL, "http://")}, &transport.TCP{}, clock)
-		return New(Settings{Process: "a", Address: "127.0.0.1:1"}, platform.NewTable(client), nil, clock, slog.New(slog.DiscardHandler),
+		return New(Settings{Process: "a", Address: "127.0.0.1:1"}, newTable(server.URL, clock), nil, clock, slog.New(slog.DiscardHandler),
 			func(*wire.Gossip) {}, func(Update) {})
 	}
 	discover := func(g *Gossiper) { c.Assert(g.discover(c.Context()), qt.IsNil) }
@@ -60,8 +65,7 @@
 	c.Cleanup(server.Close)
 	clock := &simulator.ManualClock{At: time.Hour}
 	start := func(name, address string) *Gossiper {
-		client := platform.New(platform.Settings{Store: strings.TrimPrefix(server.URL, "http://")}, &transport.TCP{}, clock)
-		return New(Settings{Process: name, Address: address}, platform.NewTable(client), nil, clock, slog.New(slog.DiscardHandler),
+		return New(Settings{Process: name, Address: address}, newTable(server.URL, clock), nil, clock, slog.New(slog.DiscardHandler),
 			func(*wire.Gossip) {}, func(Update) {})
 	}
 	a := start("a", "127.0.0.1:1")
@@ -78,3 +82,28 @@
 	c.Assert(peers, qt.HasLen, 1)
 	c.Assert(peers[0].Address, qt.Equals, "127.0.0.1:3")
 }
+
+// TestEraOfPeer guards against an entry that makes no call to the store, and whose row stays
+// lost after a drill of which others tell: an entry that starts does not know it.
+func TestEraOfPeer(t *testing.T) {
+	c := qt.New(t)
+	store := fake.NewRowStore()
+	server := httptest.NewServer(store)
+	c.Cleanup(server.Close)
+	clock := &simulator.ManualClock{At: time.Hour}
+	g := New(Settings{Process: "a", Address: "127.0.0.1:1"}, newTable(server.URL, clock), nil, clock, slog.New(slog.DiscardHandler),
+		func(*wire.Gossip) {}, func(Update) {})
+	g.peers["b"] = &peer{incarnation: 1, receivedAt: clock.At}
+	c.Assert(g.discover(c.Context()), qt.IsNil)
+	store.Restore(fake.NewRowStore().Backup())
+	told := &wire.Gossip{Process: "b", Incarnation: 1, SentUs: 1, StoreEra: 1}
+	g.receive(told)
+	g.await(c.Context(), time.Hour, nil) // returns at once
+	c.Assert(g.discover(c.Context()), qt.IsNil)
+	rows, err := newTable(server.URL, clock).List(c.Context(), prefix)
+	c.Assert(err, qt.IsNil)
+	c.Assert(rows, qt.HasLen, 1)
+	c.Assert(g.address(g.peers["b"]).body.GetStoreEra(), qt.Equals, int64(1))
+	g.receive(told)
+	c.Assert(g.laterEra, qt.HasLen, 0)
+}
--- a/state/gossiper/gossiper.go
+++ b/state/gossiper/gossiper.go
@@ -134,6 +134,7 @@
 	watching    bool
 
 	configuration int64 // version that the peer last reported
+	era           int64 // era of the store that the peer last reported
 }
 
 // Gossiper exchanges datagrams with the other entries. Use New to create one.
@@ -147,6 +148,7 @@
 	handle   func(Update)
 
 	unknownPeer chan struct{} // capacity 1; a value reports a datagram from an unknown peer
+	laterEra    chan struct{} // capacity 1; a value reports that a peer knows a later era of the store
 
 	mu          sync.Mutex
 	incarnation uint64 // 0 until the row of this process is written
@@ -165,7 +167,7 @@
 	s.setDefaults()
 	return &Gossiper{
 		settings: s, table: t, conn: conn, clock: c, log: log, compose: compose, handle: handle,
-		unknownPeer: make(chan struct{}, 1), peers: map[string]*peer{}, created: c.Now(),
+		unknownPeer: make(chan struct{}, 1), laterEra: make(chan struct{}, 1), peers: map[string]*peer{}, created: c.Now(),
 	}
 }
 
@@ -278,6 +280,7 @@
 	now := g.clock.Now()
 	m := &wire.Gossip{
 		Process: g.settings.Process, Incarnation: g.incarnation, SentUs: now.Microseconds(), Leaving: g.leaving,
+		StoreEra: g.table.History().Position.Era,
 	}
 	if p.received {
 		m.EchoUs, m.HeldUs, m.EchoIncarnation = p.sent.Microseconds(), (now - p.receivedAt).Microseconds(), p.incarnation
@@ -335,10 +338,7 @@
 	if !ok || m.GetIncarnation() < p.incarnation {
 		g.mu.Unlock()
 		if !ok {
-			select {
-			case g.unknownPeer <- struct{}{}:
-			default:
-			}
+			report(g.unknownPeer)
 		}
 		return
 	}
@@ -349,6 +349,12 @@
 	}
 	p.incarnation, p.receivedAt, p.received, p.sent, p.leaving = m.GetIncarnation(), now, true, sent, m.GetLeaving()
 	p.watching, p.configuration = m.GetWatching(), m.GetVersion()
+	if era := m.GetStoreEra(); era != p.era {
+		p.era = era
+		if era > g.table.History().Position.Era {
+			report(g.laterEra)
+		}
+	}
 	own := g.incarnation
 	g.mu.Unlock()
 	u := Update{Process: m.GetProcess(), Incarnation: m.GetIncarnation(), Version: m.GetVersion(), Message: m}
@@ -364,6 +370,14 @@
 	g.handle(u)
 }
 
+// report sends a value on a channel of capacity 1, unless it holds one.
+func report(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // maxAge bounds the ages in a datagram. The age of what a process does not have is the time
 // on its clock.
 const maxAge = 100 * 365 * 24 * time.Hour
--- a/state/gossiper/gossiper_test.go
+++ b/state/gossiper/gossiper_test.go
@@ -17,7 +17,7 @@
 // Gossiper appends an Update for each datagram that it handles.
 func newGossiper(clock *simulator.ManualClock) (*Gossiper, *[]Update) {
 	updates := &[]Update{}
-	g := New(Settings{Process: "me"}, nil, nil, clock, slog.New(slog.DiscardHandler), func(*wire.Gossip) {}, func(u Update) { *updates = append(*updates, u) })
+	g := New(Settings{Process: "me"}, newTable("", clock), nil, clock, slog.New(slog.DiscardHandler), func(*wire.Gossip) {}, func(u Update) { *updates = append(*updates, u) })
 	g.incarnation = 3
 	g.peers["peer"] = &peer{incarnation: 1, receivedAt: clock.At}
 	return g, updates
