--- a/internal/soaker/doc.go
+++ b/internal/soaker/doc.go
@@ -9,8 +9,8 @@
 //   - proxies on loopback delay, reset or refuse the connections of the processes
 //     to the store and to the targets, or hold back their bytes in one direction or
 //     in both;
-//   - the store is unavailable, drops the responses to writes, or compacts its
-//     history;
+//   - the store is unavailable, drops the responses to writes, compacts its
+//     history, or comes back from an older copy;
 //   - targets return faulty responses, or restart at the same address;
 //   - targets fall silent in the middle of all their answers and go on later;
 //   - engines crash when they begin an answer to a prompt with a certain part;
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -326,6 +326,7 @@
 	close(stopMonitors)
 	monitors.Wait()
 	s.checkUsage()
+	s.checkFences()
 	r := &Report{Findings: slices.Concat(s.recorder.evaluate(), s.badPart.evaluate(), s.badRequest.evaluate(), s.limit.evaluate()), Directory: s.directory}
 	r.Requests, r.Served, r.Refused, r.RefusedLate = len(s.recorder.requests), s.recorder.served, s.recorder.refused, s.recorder.refusedLate
 	r.Resumptions, r.Kept = s.recorder.resumptions, s.recorder.kept
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -325,6 +325,22 @@
 	c.Assert(checks(r), qt.DeepEquals, []string{"one", "one"})
 }
 
+// TestFenceOfTwoHolders checks that usage that two holders report with one fencing token is a
+// finding.
+func TestFenceOfTwoHolders(t *testing.T) {
+	c := qt.New(t)
+	r := newRecorder()
+	s := &Soak{recorder: r, store: fake.NewRowStore()}
+	server := httptest.NewServer(s.store)
+	defer server.Close()
+	client := platform.New(platform.Settings{Duties: strings.TrimPrefix(server.URL, "http://")}, &transport.TCP{}, ticker.BootClock{})
+	for n, tenure := range []platform.Tenure{{Holder: "front-1", Epoch: 1}, {Holder: "front-1", Epoch: 1}, {Holder: "front-2", Epoch: 2}, {Holder: "front-1", Epoch: 2}} {
+		c.Assert(client.ReportUsage(t.Context(), tenure, int64(n), nil), qt.IsNil)
+		s.checkFences()
+		c.Assert(checks(r), qt.HasLen, max(0, n-2))
+	}
+}
+
 // TestCheckIncomplete checks requests without a complete response. Such a request is
 // a finding if the caller waited up to the limit, or if the connection broke before
 // the response header. It is none around a kill of the entry, or if the scheduling
