--- a/coordination/biller/biller.go
+++ b/coordination/biller/biller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -118,6 +119,7 @@
 	followed      int64         // epoch of the lease since whose acquisition this process knows all reports
 	reported      bool          // whether frozenWindow was reported successfully
 	skipped       int64         // newest window that is not reported because it may have been already
+	skippedCount  atomic.Int64  // number of such windows
 
 	// rowMu guards the fields below, as SaveOnStop may write this process's
 	// row while Step does.
@@ -317,10 +319,16 @@
 	newest := int64(-1)
 	if f != nil {
 		newest = f.Window
+		b.skippedCount.Add(max(0, b.skipped-newest))
 	}
 	b.log.Warn("usage not reported, as the store has lost whether it was", "after", newest, "through", b.skipped)
 }
 
+// Skipped returns the number of windows that this process did not report because they may
+// have been reported before the store came back from an older copy. Those of a
+// store that has lost the frozen row are not known, and do not count.
+func (b *Biller) Skipped() int64 { return b.skippedCount.Load() }
+
 // freeze adds up the counts of a window and writes them to the frozen row.
 func (b *Biller) freeze(ctx context.Context, w int64) error {
 	f := &frozenWindow{Window: w, Counts: b.sum(w)}
--- a/coordination/biller/drill_test.go
+++ b/coordination/biller/drill_test.go
@@ -27,16 +27,19 @@
 // TestReportsAfterDrill guards against ONE of issue 50: after the store has come back from an
 // older copy, the next holder of the lease reports a window again with other counts.
 func TestReportsAfterDrill(t *testing.T) {
-	for name, backup := range map[string]func(*fake.RowStore) fake.Backup{
-		"older row":  (*fake.RowStore).Backup,
-		"no row yet": func(*fake.RowStore) fake.Backup { return fake.NewRowStore().Backup() },
+	for name, test := range map[string]struct {
+		backup  func(*fake.RowStore) fake.Backup
+		skipped int64 // windows, as far as their number is known
+	}{
+		"older row":  {(*fake.RowStore).Backup, 1},
+		"no row yet": {func(*fake.RowStore) fake.Backup { return fake.NewRowStore().Backup() }, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			h := newHarness(c)
 			a, b := h.biller("a"), h.biller("b")
 			h.stepUntil(c, 7*time.Second, a, b) // a reports window 0
-			copied := backup(h.store)
+			copied := test.backup(h.store)
 			a.Begun("t") // in window 1, which a reports, too
 			h.stepUntil(c, 13*time.Second, a, b)
 			b.Begun("t") // in window 2
@@ -45,6 +48,7 @@
 			h.holder, h.epoch = "b", 2
 			h.stepUntil(c, 18*time.Second, b)
 			c.Assert(h.reporter.got[2:], qt.DeepEquals, []string{"2 2 map[t:1]"})
+			c.Assert(b.Skipped(), qt.Equals, test.skipped)
 
 			// A holder that has not followed them begins with the window after b's last.
 			third := h.biller("c")
@@ -94,6 +98,7 @@
 	h.holder, h.epoch = "b", 2
 	h.stepUntil(c, 12*time.Second, b)
 	c.Assert(h.reporter.got, qt.DeepEquals, []string{"1 0 map[t:5]", "2 1 map[]"})
+	c.Assert(b.Skipped(), qt.Equals, int64(0)) // window 0 is the one in the row
 }
 
 // TestCountsSavedAfterDrill guards against counts that the store has lost in a drill, and that
