Bring a long configuration to entries compressed, and only once

An entry that is late asked up to eight peers for a configuration at the same time, each for the whole of it as JSON, cut all after 2.5 s, and read what a peer had brought from the store again, as its wait went on from before that. On a slow link these copies take the time from each other and from callers.

Another peer is asked only while no reply has begun, and a reply that arrives is not cut. They have the position of the store through which the version is the newest one, and the wait at the store goes on from there.

--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -78,6 +78,7 @@
 	metricsServer  *http.Server
 	relayClient    *relayer.Client
 	udpConn        net.PacketConn
+	snapshots      snapshotEncoder
 
 	listener       *drainListener // of callers' connections; set by Start, nil if they do not use TCP
 	conns          *connTracker   // connections of callers
--- a/internal/assembler/fleetpeers.go
+++ b/internal/assembler/fleetpeers.go
@@ -4,12 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
+	"time"
 
 	"radishspoke/state/fleetwatcher"
+	"radishspoke/transport"
 	"radishspoke/transport/httpclient"
 )
 
@@ -18,12 +19,19 @@
 // port for gossip.
 const snapshotPath = "/known"
 
-// maxSnapshotBytes is the maximum length of a snapshot in bytes. It leaves room
+// maxSnapshotBytes is the maximum length of a compressed snapshot in bytes. It leaves room
 // for a configuration with many routes.
 const maxSnapshotBytes = 16 << 20
 
+// maxSnapshotJSONBytes is the maximum length of a snapshot in bytes once it is decompressed.
+const maxSnapshotJSONBytes = 128 << 20
+
+// snapshotStall is the time between two bytes of a snapshot after which its reader gives up.
+const snapshotStall = 1500 * time.Millisecond
+
 // serveSnapshot responds to another entry with the configuration and the list of
-// targets that this entry has, so far as they differ from those in the query.
+// targets that this entry has, so far as they differ from those in the query. The
+// response is compressed if the other entry accepts that.
 func (e *FleetEntry) serveSnapshot(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	version, err := strconv.ParseInt(q.Get("version"), 10, 64)
@@ -36,8 +44,22 @@
 		http.Error(w, "digest: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	s := e.watcher.Snapshot(version, digest)
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(e.watcher.Snapshot(version, digest)); err != nil {
+	if r.Header.Get("Accept-Encoding") != gzipEncoding {
+		if err := json.NewEncoder(w).Encode(s); err != nil {
+			e.env.Log.Debug("snapshot not sent", "to", r.RemoteAddr, "error", err)
+		}
+		return
+	}
+	data, err := e.snapshots.encode(s)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Encoding", gzipEncoding)
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if _, err := w.Write(data); err != nil {
 		e.env.Log.Debug("snapshot not sent", "to", r.RemoteAddr, "error", err)
 	}
 }
@@ -55,9 +77,12 @@
 // FetchSnapshot requests a snapshot from the entry at an address. The arguments version
 // and digest identify the configuration and the list of targets that this entry has. It
 // implements fleetwatcher.Peers.
-func (e *FleetEntry) FetchSnapshot(ctx context.Context, address string, version int64, digest uint64) (fleetwatcher.Snapshot, error) {
+func (e *FleetEntry) FetchSnapshot(ctx context.Context, address string, version int64, digest uint64, begun func()) (fleetwatcher.Snapshot, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	q := url.Values{"version": {strconv.FormatInt(version, 10)}, "digest": {strconv.FormatUint(digest, 10)}}
-	resp, err := e.sidecarClient.Do(ctx, address, &httpclient.Call{Method: http.MethodGet, RequestURI: snapshotPath + "?" + q.Encode(), Host: address, Header: http.Header{}})
+	header := http.Header{"Accept-Encoding": {gzipEncoding}}
+	resp, err := e.sidecarClient.Do(ctx, address, &httpclient.Call{Method: http.MethodGet, RequestURI: snapshotPath + "?" + q.Encode(), Host: address, Header: header})
 	if err != nil {
 		return fleetwatcher.Snapshot{}, fmt.Errorf("ask entry %s: %w", address, err)
 	}
@@ -65,12 +90,13 @@
 	if resp.Status != http.StatusOK {
 		return fleetwatcher.Snapshot{}, fmt.Errorf("ask entry %s: status %d", address, resp.Status)
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(nil, resp, maxSnapshotBytes))
+	begun()
+	data, err := transport.ReadAll(resp, maxSnapshotBytes, snapshotStall, cancel)
 	if err != nil {
 		return fleetwatcher.Snapshot{}, fmt.Errorf("ask entry %s: %w", address, err)
 	}
-	var s fleetwatcher.Snapshot
-	if err := json.Unmarshal(data, &s); err != nil {
+	s, err := decodeSnapshot(data, resp.Header.Get("Content-Encoding") == gzipEncoding)
+	if err != nil {
 		return fleetwatcher.Snapshot{}, fmt.Errorf("ask entry %s: %w", address, err)
 	}
 	return s, nil
--- a/state/fleetwatcher/configuration.go
+++ b/state/fleetwatcher/configuration.go
@@ -85,6 +85,9 @@
 	after, known, lost := radishspoke.StorePosition{}, false, false
 	stored := int64(0) // newest version of the configuration in the store, as last read
 	for ctx.Err() == nil {
+		if version, at, ok := w.storedAfter(after); ok {
+			after, known, stored = at, true, version
+		}
 		sent := w.clock.Now()
 		var t *radishspoke.RoutingTable
 		var err error
@@ -122,9 +125,30 @@
 			continue
 		}
 		w.UpdateConfiguration(t, stored, sent)
+		w.recordStored(stored, after)
+	}
+}
+
+// recordStored records that a version was the newest one in the store at a position, as
+// read by this process or by a peer.
+func (w *Watcher) recordStored(version int64, at radishspoke.StorePosition) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if version > 0 && at.Number() > w.storedAt.Number() {
+		w.storedVersion, w.storedAt = version, at
 	}
 }
 
+// storedAfter returns the version that was the newest one in the store at a position after the
+// given one in the same era, and that position, if that version is in force here. A wait
+// from there on does not bring what a peer has brought already.
+func (w *Watcher) storedAfter(after radishspoke.StorePosition) (version int64, at radishspoke.StorePosition, ok bool) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	ok = w.table != nil && w.table.Version == w.storedVersion && w.storedAt.Era == after.Era && w.storedAt.Version > after.Version
+	return w.storedVersion, w.storedAt, ok
+}
+
 // recordConfigRead records whether the last read of the configuration succeeded.
 func (w *Watcher) recordConfigRead(ok bool) {
 	w.mu.Lock()
--- a/state/fleetwatcher/fleetwatcher.go
+++ b/state/fleetwatcher/fleetwatcher.go
@@ -119,26 +119,28 @@
 	queued     *refresh      // begins when the present one has ended, or nil
 	refreshed  time.Duration // when the last refresh began
 
-	mu           sync.RWMutex
-	table        *radishspoke.RoutingTable
-	proof        time.Duration                   // when the table was last known to be the newest
-	reported     int64                           // newest version that another process has reported
-	reportedAt   time.Duration                   // when it was first reported
-	instances    map[string]radishspoke.Instance // the list and the missing targets that are kept
-	missing      map[string]time.Duration        // when each of the latter was last on the list
-	odd          map[string]bool                 // errors about rows in the last list
-	listFailed   bool                            // the last read of the list failed
-	configFailed bool                            // the last read of the configuration failed
-	recovered    time.Duration                   // when this process could read the list again after a failed read
-	served       period                          // in which the platform is known to have served the list without an outage
-	digest       uint64                          // of the list as last read, or last received from a peer
-	listedAt     time.Duration                   // when its targets were last known to be on it
-	readAt       time.Duration                   // when the call was sent that last read the list
-	respondedAt  time.Duration                   // when it was answered
-	followed     time.Duration                   // time since which no change of the list was missed
-	complete     time.Duration                   // when the list was last known to be complete
-	peerReadAt   time.Duration                   // when a peer read the newest list that it sent
-	changes      []timedChange                   // of the list, the oldest first
+	mu            sync.RWMutex
+	table         *radishspoke.RoutingTable
+	proof         time.Duration // when the table was last known to be the newest
+	storedVersion int64         // version that was the newest one in the store at storedAt, or 0
+	storedAt      radishspoke.StorePosition
+	reported      int64                           // newest version that another process has reported
+	reportedAt    time.Duration                   // when it was first reported
+	instances     map[string]radishspoke.Instance // the list and the missing targets that are kept
+	missing       map[string]time.Duration        // when each of the latter was last on the list
+	odd           map[string]bool                 // errors about rows in the last list
+	listFailed    bool                            // the last read of the list failed
+	configFailed  bool                            // the last read of the configuration failed
+	recovered     time.Duration                   // when this process could read the list again after a failed read
+	served        period                          // in which the platform is known to have served the list without an outage
+	digest        uint64                          // of the list as last read, or last received from a peer
+	listedAt      time.Duration                   // when its targets were last known to be on it
+	readAt        time.Duration                   // when the call was sent that last read the list
+	respondedAt   time.Duration                   // when it was answered
+	followed      time.Duration                   // time since which no change of the list was missed
+	complete      time.Duration                   // when the list was last known to be complete
+	peerReadAt    time.Duration                   // when a peer read the newest list that it sent
+	changes       []timedChange                   // of the list, the oldest first
 }
 
 // New returns a Watcher without a configuration and without targets. It calls
--- a/state/fleetwatcher/peers.go
+++ b/state/fleetwatcher/peers.go
@@ -20,6 +20,11 @@
 	Version  int64
 	ProofAge time.Duration
 
+	// At is a position of the store through which Version is the newest one, or zero if
+	// it is not known. The requester can wait for the next one from there on, without
+	// reading this one from the store.
+	At radishspoke.StorePosition
+
 	// Instances holds the list of targets, or nil if the requester's list has the
 	// same Digest. ListAge is the time since the list was read.
 	Instances []radishspoke.Instance
@@ -47,8 +52,9 @@
 
 	// FetchSnapshot requests a Snapshot from the process at an address. The reply
 	// leaves out a configuration that is not newer than version, and a list of targets
-	// that has the given digest.
-	FetchSnapshot(ctx context.Context, address string, version int64, digest uint64) (Snapshot, error)
+	// that has the given digest. FetchSnapshot calls begun when the reply begins to
+	// arrive, and returns an error if it stalls after that.
+	FetchSnapshot(ctx context.Context, address string, version int64, digest uint64, begun func()) (Snapshot, error)
 }
 
 const (
@@ -63,8 +69,8 @@
 	behindDelay = 100 * time.Millisecond
 
 	// hedgeDelay is the time after which another peer is asked for a snapshot while
-	// those before have not replied, as a peer that stands still accepts connections.
-	// The peers that are asked have until peerTimeout to reply.
+	// those before have not begun to reply, as a peer that stands still accepts
+	// connections. The peers that are asked have until peerTimeout to begin.
 	hedgeDelay  = 300 * time.Millisecond
 	peerTimeout = 2500 * time.Millisecond
 )
@@ -85,6 +91,9 @@
 		if s.Version > version {
 			s.Table = w.table
 		}
+		if w.storedVersion == s.Version {
+			s.At = w.storedAt
+		}
 	}
 	if w.digest != digest {
 		s.Instances = make([]radishspoke.Instance, 0, len(w.instances))
@@ -143,16 +152,18 @@
 	return "", false
 }
 
-// fetchSnapshot requests a snapshot from the first peer that replies. The result ok is
-// false if there are no peers to ask.
+// fetchSnapshot requests a snapshot from the first peer that replies. Another peer is asked
+// while no reply has begun, or after one has failed. The result ok is false if there are no
+// peers to ask.
 func fetchSnapshot(ctx context.Context, p Peers, random *rand.Rand, version int64, digest uint64) (s Snapshot, ok bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type reply struct {
 		snapshot Snapshot
 		err      error
 	}
 	replies := make(chan reply) // those that are not waited for end with ctx
+	begun := make(chan struct{}, 1)
 	asked, pending := map[string]bool{}, 0
 	ask := func() {
 		address, ok := choosePeer(p.PeerStates(), version, asked, random)
@@ -162,7 +173,12 @@
 		asked[address] = true
 		pending++
 		go func() {
-			s, err := p.FetchSnapshot(ctx, address, version, digest)
+			s, err := p.FetchSnapshot(ctx, address, version, digest, func() {
+				select {
+				case begun <- struct{}{}:
+				default:
+				}
+			})
 			select {
 			case replies <- reply{s, err}:
 			case <-ctx.Done():
@@ -171,7 +187,9 @@
 	}
 	hedge := time.NewTicker(hedgeDelay)
 	defer hedge.Stop()
-	for ask(); pending > 0; ask() {
+	timeout := time.NewTimer(peerTimeout)
+	defer timeout.Stop()
+	for ask(); pending > 0; {
 		select {
 		case r := <-replies:
 			if r.err == nil {
@@ -179,7 +197,14 @@
 			}
 			err = r.err
 			pending--
+			ask()
+		case <-begun: // the reply ends by itself
+			hedge.Stop()
+			timeout.Stop()
 		case <-hedge.C:
+			ask()
+		case <-timeout.C:
+			return Snapshot{}, false, fmt.Errorf("wait for peers: %w", context.DeadlineExceeded)
 		case <-ctx.Done():
 			return Snapshot{}, false, fmt.Errorf("wait for peers: %w", ctx.Err())
 		}
@@ -231,10 +256,12 @@
 // time sent. The ages in the reply are subtracted from sent, and not from the time
 // of the reply, so that a delay never makes the lists look more recent.
 func (w *Watcher) handlePeerReply(s Snapshot, sent time.Duration) {
-	if old := w.Table(); s.Table != nil && (old == nil || s.Table.Version > old.Version) {
-		signal(w.renew)
-	}
+	old := w.Table()
 	w.UpdateConfiguration(s.Table, s.Version, sent-max(0, s.ProofAge))
+	w.recordStored(s.Version, s.At)
+	if s.Table != nil && (old == nil || s.Table.Version > old.Version) {
+		signal(w.renew) // the wait goes on from a later position
+	}
 	read := sent - max(0, s.ListAge)
 	w.notifying.Lock()
 	defer w.notifying.Unlock()
