Move usage and gauges of an entry into files of their own

Moves only: what reports usage, and the log of eras, to fleetusage.go, and the gauges to fleetmetrics.go. The tests of gossiper share a constructor.

--- a/internal/assembler/fleetadapters.go
+++ b/internal/assembler/fleetadapters.go
@@ -1,7 +1,6 @@
 package assembler
 
 import (
-	"context"
 	"log/slog"
 	"sync"
 
@@ -9,19 +8,6 @@
 	"radishspoke/platform"
 )
 
-// usageReporter reports usage to the platform in the name of this process. It
-// implements biller.UsageReporter.
-type usageReporter struct {
-	client *platform.Client
-	holder string
-}
-
-// ReportUsage reports the usage counts of a billing window, by team, in the
-// tenure with the given epoch. It implements biller.UsageReporter.
-func (r usageReporter) ReportUsage(ctx context.Context, epoch, window int64, counts map[string]int64) error {
-	return r.client.ReportUsage(ctx, platform.Tenure{Holder: r.holder, Epoch: epoch}, window, counts)
-}
-
 // retryBudgets holds one retry budget for each group of targets. It implements
 // fleetdispatcher.RetryBudgets.
 type retryBudgets struct {
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -130,7 +130,6 @@
 	// that are asked for snapshots.
 	peerStream = 2
 
-	usageInterval = 500 * time.Millisecond
 	sweepInterval = time.Second
 
 	retryLogInterval = time.Second // between two log lines about the retries of a group
@@ -139,15 +138,6 @@
 	// rest is a reserve: entries divide RetrySlack by the number of entries
 	// that they know of, which is not always current.
 	retryShare = 0.5
-
-	// usageLeaseMargin is the time before the expiry of the lease for reporting
-	// usage at which its holder stops using it. The duration of the lease is
-	// the minimum time between two holders plus this margin.
-	usageLeaseMargin = time.Second
-
-	// usageCandidates is the number of entries that try to take the lease for
-	// reporting usage.
-	usageCandidates = 2
 )
 
 // NewFleetEntry returns an entry that does not serve yet. Start must be called
@@ -261,43 +251,6 @@
 // gossipInterval is the time between two gossip datagrams to the same peer.
 const gossipInterval = 200 * time.Millisecond
 
-// registerGauges registers the gauges in the metrics of this entry.
-func (e *FleetEntry) registerGauges() {
-	e.recorder.Gauge("requests_running", func() float64 { return float64(e.activeRequests.Load()) })
-	e.recorder.Gauge("requests_interrupted", func() float64 { return float64(e.interrupted.Load()) })
-	e.recorder.Gauge("config_version", func() float64 {
-		if t := e.watcher.Table(); t != nil {
-			return float64(t.Version)
-		}
-		return 0
-	})
-	e.recorder.Gauge("config_version_reported", func() float64 { return float64(e.watcher.Reported()) })
-	e.recorder.Gauge("config_proof_age_seconds", func() float64 { return (e.env.Clock.Now() - e.watcher.Proof()).Seconds() })
-	e.recorder.Gauge("store_era", func() float64 { return float64(e.table.History().Position.Era) })
-	e.recorder.Gauge("usage_windows_skipped", func() float64 { return float64(e.biller.Skipped()) })
-	e.recorder.Gauge("targets_listed", func() float64 { return float64(len(e.watcher.Instances())) })
-	e.recorder.Gauge("peers_live", func() float64 {
-		n := 0
-		for _, p := range e.gossiper.Peers() {
-			if p.Live {
-				n++
-			}
-		}
-		return float64(n)
-	})
-	e.recorder.Gauge("streams_recorded", func() float64 { return float64(e.registry.Len()) })
-	e.recorder.Gauge("causes_quarantined", func() float64 { return float64(e.quarantiner.Quarantined()) })
-	registerLimits(e.recorder, e.throttler)
-	e.recorder.Gauge("target_connections_opened", func() float64 { return float64(e.targetClient.DialCount()) })
-}
-
-// registerLimits registers the gauges about the limits of targets.
-func registerLimits(r *recorder.Recorder, t *throttler.Throttler) {
-	r.Gauge("targets_limited", func() float64 { n, _ := t.Limited(); return float64(n) })
-	r.Gauge("targets_limited_rate", func() float64 { _, rate := t.Limited(); return rate })
-	r.Gauge("targets_limited_requests", func() float64 { return float64(t.Sent()) })
-}
-
 // serveReady responds to readiness checks of the platform. An entry is not ready
 // if it is stopping, if it has no configuration yet, or if it is cut off from the
 // platform and from other entries for so long that it cannot check keys. Callers
@@ -403,50 +356,6 @@
 	return out
 }
 
-// wantedLeases returns the leases that this entry tries to take, with its rank
-// for each. The only lease is that for reporting usage.
-func (e *FleetEntry) wantedLeases() map[string]int {
-	if e.leaving.Load() {
-		return nil
-	}
-	if _, holds := e.elector.Holds(biller.LeaseName); holds || e.rank() < usageCandidates {
-		return map[string]int{biller.LeaseName: 0} // candidates have equal rank; the first to write the lease gets it
-	}
-	return nil
-}
-
-// reportUsage reports usage periodically until ctx is done. Reporting starts once
-// the process knows the time of day at which the store's clock was zero, from which
-// the billing windows are derived. It reads that again in each era of the store.
-func (e *FleetEntry) reportUsage(ctx context.Context, t radishspoke.Timers) {
-	synced := int64(-1) // era of the store in which the zero was read
-	ticker.Each(ctx, t, usageInterval, func() {
-		if era := e.table.History().Position.Era; synced != era {
-			if err := e.storeTime.SyncZero(ctx); err != nil {
-				e.env.Log.Debug("time of day is not known yet", "error", err)
-				return
-			}
-			synced = era
-		}
-		if err := e.biller.Step(ctx); err != nil {
-			e.env.Log.Warn("usage not reported", "error", err)
-		}
-	})
-}
-
-// logEras logs each return of the store from an older copy until ctx is done.
-func (e *FleetEntry) logEras(ctx context.Context) {
-	for {
-		h := e.table.History()
-		select {
-		case <-ctx.Done():
-			return
-		case <-h.Ended:
-			e.env.Log.Warn("store has come back from an older copy", "after", h.Position.Version, "era", e.table.History().Position.Era)
-		}
-	}
-}
-
 // entryCount returns the number of entries, this one included, or 0 if their rows have not
 // been read since the start.
 func (e *FleetEntry) entryCount() int {
--- a/state/gossiper/drill_test.go
+++ b/state/gossiper/drill_test.go
@@ -22,6 +22,12 @@
 	return platform.NewTable(platform.New(platform.Settings{Store: strings.TrimPrefix(url, "http://")}, &transport.TCP{}, clock))
 }
 
+// newEntry returns the Gossiper of an entry that neither sends nor receives.
+func newEntry(url, name, address string, clock radishspoke.Clock) *Gossiper {
+	return New(Settings{Process: name, Address: address}, newTable(url, clock), nil, clock, slog.New(slog.DiscardHandler),
+		func(*wire.Gossip) {}, func(Update) {})
+}
+
 // TestIncarnationAfterDrill guards against an incarnation that is given out twice, or changes
 // for a process that runs on, after the store has come back from an older copy: what the process
 // has counted is then missed, or counts twice.
@@ -31,10 +37,7 @@
 	server := httptest.NewServer(store)
 	c.Cleanup(server.Close)
 	clock := &simulator.ManualClock{At: time.Hour}
-	start := func() *Gossiper {
-		return New(Settings{Process: "a", Address: "127.0.0.1:1"}, newTable(server.URL, clock), nil, clock, slog.New(slog.DiscardHandler),
-			func(*wire.Gossip) {}, func(Update) {})
-	}
+	start := func() *Gossiper { return newEntry(server.URL, "a", "127.0.0.1:1", clock) }
 	discover := func(g *Gossiper) { c.Assert(g.discover(c.Context()), qt.IsNil) }
 	empty := store.Backup()
 	discover(start())
@@ -64,10 +67,7 @@
 	server := httptest.NewServer(store)
 	c.Cleanup(server.Close)
 	clock := &simulator.ManualClock{At: time.Hour}
-	start := func(name, address string) *Gossiper {
-		return New(Settings{Process: name, Address: address}, newTable(server.URL, clock), nil, clock, slog.New(slog.DiscardHandler),
-			func(*wire.Gossip) {}, func(Update) {})
-	}
+	start := func(name, address string) *Gossiper { return newEntry(server.URL, name, address, clock) }
 	a := start("a", "127.0.0.1:1")
 	c.Assert(start("b", "127.0.0.1:2").discover(c.Context()), qt.IsNil)
 	c.Assert(a.discover(c.Context()), qt.IsNil)
@@ -91,8 +91,7 @@
 	server := httptest.NewServer(store)
 	c.Cleanup(server.Close)
 	clock := &simulator.ManualClock{At: time.Hour}
-	g := New(Settings{Process: "a", Address: "127.0.0.1:1"}, newTable(server.URL, clock), nil, clock, slog.New(slog.DiscardHandler),
-		func(*wire.Gossip) {}, func(Update) {})
+	g := newEntry(server.URL, "a", "127.0.0.1:1", clock)
 	g.peers["b"] = &peer{incarnation: 1, receivedAt: clock.At}
 	c.Assert(g.discover(c.Context()), qt.IsNil)
 	store.Restore(fake.NewRowStore().Backup())
