--- a/coordination/biller/biller.go
+++ b/coordination/biller/biller.go
@@ -307,7 +307,7 @@
 	return nil
 }
 
-// skip handles the content of an outdated row, or its absence, at the begin of a tenure. Windows
+// skip handles the content of an outdated row, or its absence, at the start of a tenure. Windows
 // that are due may have been frozen and reported by an earlier holder, with counts that
 // are lost, and what the row holds may have been written late, by a holder that did
 // not report it. None of them is reported: a missing report can be corrected, but not two
--- a/internal/assembler/fleetsnapshot.go
+++ b/internal/assembler/fleetsnapshot.go
@@ -23,7 +23,7 @@
 	member []byte                    // table as one member of a gzip file
 }
 
-// emptyTable is the begin of the JSON of a snapshot without a configuration, which is its first
+// emptyTable is the start of the JSON of a snapshot without a configuration, which is its first
 // field.
 const emptyTable = `{"Table":null`
 
