--- a/state/fleetwatcher/longconfiguration_test.go
+++ b/state/fleetwatcher/longconfiguration_test.go
@@ -26,7 +26,7 @@
 }
 
 func (s *longSource) NextConfiguration(ctx context.Context, after radishspoke.StorePosition, wait time.Duration) (*radishspoke.RoutingTable, radishspoke.StorePosition, error) {
-	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	for end := time.Now().Add(wait); time.Now().Before(end); ticker.Sleep(ctx, 10*time.Millisecond) {
 		if t := s.table.Load(); t.Version > after.Version {
 			s.mu.Lock()
 			s.reads = append(s.reads, after)
