--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # builds. It needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-GOPROXY=off go build -o target/stage ./review/stage
+GOPROXY=off go build -tags review -o target/stage ./review/stage
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command stage plays the cases of the second review that are scripts. It starts
 // entries and sidecars as processes, with stand-ins for the platform, targets and
 // callers, and checks one rule by what the stand-ins have seen.
--- a/review/stage/turns.go
+++ b/review/stage/turns.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -13,7 +15,7 @@
 
 // Times of the case "turns".
 const (
-	startGap   = 250 * time.Millisecond // machines start within 0.3 s of each other
+	startGap   = 250 * time.Millisecond  // machines start within 0.3 s of each other
 	stopGap    = 1800 * time.Millisecond // between two planned stops; the sheet has 1.0 to 2.0 s
 	restartGap = 500 * time.Millisecond  // from the end of a process to its next start
 	rounds     = 3
