--- a/review/stage/duties.go
+++ b/review/stage/duties.go
@@ -46,7 +46,7 @@
 	d.mu.Lock()
 	d.reports = append(d.reports, report{d.site.since(), tenure.Holder, tenure.Epoch, window})
 	d.mu.Unlock()
-	d.site.note("platform's API: usage report of %s, fence %d, window %d, counts %v", tenure.Holder, tenure.Epoch, window, counts)
+	d.site.note("platform's API: usage report of %s, fence %d, window %d, counts %v, answered 200", tenure.Holder, tenure.Epoch, window, counts)
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write([]byte("{}")) // the caller may have left
 }
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -35,7 +35,11 @@
 	hosts     int // number of addresses in use
 	servers   []*http.Server
 	processes []*process
+	runs      map[string][]string // targets that ran a request, by its id
 	closed    bool
+
+	// Ports of every machine, each at an address of its own.
+	callersPort, readyPort, firstPort int
 }
 
 // newSite returns a site with a store and no machines.
@@ -50,7 +54,12 @@
 	}
 	s := &site{
 		prefix: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)), folder: folder, began: time.Now(),
-		store: fake.NewRowStore(), record: f,
+		store: fake.NewRowStore(), record: f, runs: map[string][]string{},
+	}
+	for _, port := range []*int{&s.callersPort, &s.readyPort, &s.firstPort} {
+		if *port, err = freePort(s.prefix + ".1"); err != nil {
+			return nil, err
+		}
 	}
 	// The bounds of the sheet of Nour Festons.
 	s.bounds = platform.Bounds{
@@ -114,21 +123,33 @@
 	_ = s.record.Close()
 }
 
-// Ports of every machine. The addresses are its own.
-const (
-	callersPort = 8360
-	readyPort   = 8365
-	firstPort   = 7500
-	lastPort    = 7515
-)
+// portRange is the number of ports for traffic between machines.
+const portRange = 16
+
+// freePort returns a port that is free at an address, with room for a range after it.
+func freePort(ip string) (int, error) {
+	for {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return 0, err
+		}
+		port := l.Addr().(*net.TCPAddr).Port
+		if err := l.Close(); err != nil {
+			return 0, err
+		}
+		if port+portRange < 1<<16 {
+			return port, nil
+		}
+	}
+}
 
 // settings returns the settings of a machine with the front role at a new address.
 func (s *site) settings(name, zone, store, duties string) platform.Settings {
 	ip := s.address()
 	return platform.Settings{
 		Name: name, Zone: zone, Region: "region", Regions: map[string]string{"zone-a": "region", "zone-b": "region"}, IP: ip,
-		Callers: net.JoinHostPort(ip, strconv.Itoa(callersPort)), Ready: net.JoinHostPort(ip, strconv.Itoa(readyPort)),
-		FirstPort: firstPort, LastPort: lastPort, Store: store, Duties: duties, Link: 125e6, Memory: 284e6, Descriptors: 4100,
+		Callers: net.JoinHostPort(ip, strconv.Itoa(s.callersPort)), Ready: net.JoinHostPort(ip, strconv.Itoa(s.readyPort)),
+		FirstPort: s.firstPort, LastPort: s.firstPort + portRange - 1, Store: store, Duties: duties, Link: 125e6, Memory: 284e6, Descriptors: 4100,
 		First: true, Bounds: s.bounds,
 	}
 }
--- a/review/stage/stalereport.go
+++ b/review/stage/stalereport.go
@@ -44,8 +44,8 @@
 			return false, err
 		}
 	}
-	entries, links, calls := map[string]*process{}, map[string]*link{}, &traffic{}
-	for n, zone := range []string{"zone-a", "zone-b"} {
+	entries, links, calls := map[string]*process{}, map[string]*link{}, &traffic{site: s}
+	for n, zone := range []string{"zone-a", "zone-b", "zone-b"} { // one of three is cut off: the sheet has a share of 0.35
 		name := fmt.Sprintf("front-%d", n+1)
 		l, address, err := newLink(s, name+" to the platform's API", apiAddress)
 		if err != nil {
--- a/review/stage/traffic.go
+++ b/review/stage/traffic.go
@@ -50,6 +50,7 @@
 func (s *site) addTarget(id, zone string) error {
 	address, err := s.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
+		s.noteRun(platform.RequestID(r.Header), id)
 		for k, v := range platform.EncodeAnswer(platform.AnswerHeader{ID: platform.RequestID(r.Header), Stamped: true, Slots: 6}, id) {
 			w.Header()[k] = v
 		}
@@ -74,7 +75,24 @@
 }
 
 // traffic counts the answers to callers.
-type traffic struct{ sent, answered atomic.Int64 }
+type traffic struct {
+	site           *site
+	sent, answered atomic.Int64
+}
+
+// noteRun records that a target ran a request.
+func (s *site) noteRun(request, target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[request] = append(s.runs[request], target)
+}
+
+// ran returns the targets that have run a request.
+func (s *site) ran(request string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[request]
+}
 
 // callInterval is the time between two requests at one entry.
 const callInterval = 100 * time.Millisecond
@@ -101,15 +119,19 @@
 			return
 		}
 		q.Host = routeHost
-		q.Header = platform.EncodeRequest(platform.CallerHeader{ID: strings.ReplaceAll(uuid.NewString(), "-", "")[:16], Secret: secret, Deadline: callLimit})
+		id := strings.ReplaceAll(uuid.NewString(), "-", "")[:16]
+		q.Header = platform.EncodeRequest(platform.CallerHeader{ID: id, Secret: secret, Deadline: callLimit})
 		t.sent.Add(1)
+		sent := t.site.since()
 		r, err := client.Do(q)
 		if err != nil {
+			t.site.note("request %s sent to %s at %.3f s, run by %v, no answer: %v", id, p.settings.Name, sent.Seconds(), t.site.ran(id), err)
 			continue
 		}
 		if _, err := io.Copy(io.Discard, r.Body); err == nil && r.StatusCode == http.StatusOK {
 			t.answered.Add(1)
 		}
 		_ = r.Body.Close()
+		t.site.note("request %s sent to %s at %.3f s, run by %v, answered %d", id, p.settings.Name, sent.Seconds(), t.site.ran(id), r.StatusCode)
 	}
 }
--- a/review/stage/turns.go
+++ b/review/stage/turns.go
@@ -66,7 +66,7 @@
 			return false, err
 		}
 	}
-	entries, calls := map[string]*process{}, &traffic{}
+	entries, calls := map[string]*process{}, &traffic{site: s}
 	for n, zone := range []string{"zone-a", "zone-b"} {
 		name := fmt.Sprintf("front-%d", n+1)
 		p, err := s.start("entry", s.settings(name, zone, store, apiAddress))
