Keep holders of a lease from taking turns

Cause: a released lease was acquired at once by whoever read it first. The row named only its last holder, so a process that had started again could not know that it had held the lease just before that holder.

Change: the row lists the processes that held the lease within its last duration, each with a lower bound of the time since. Every holder adds up that time on its own clock, as no clock is shared. A process on the list waits until it last held the lease a duration ago; others, and the last holder itself, acquire a released lease at once as before. After an acquisition from an outdated row, any process counts as a former holder, as the row does not tell who was.

Changed test: "two hand-overs" of TestLeaseAfterDrill waited 1 s for the first holder to hold the lease again after another one, which is the fault itself. It waits for the stated take-over time now. The rig checks turns in all cases.

--- a/coordination/biller/model_test.go
+++ b/coordination/biller/model_test.go
@@ -29,6 +29,7 @@
 const (
 	modelLease    = 4 * time.Second
 	modelMargin   = time.Second
+	modelTurn     = modelLease - modelMargin // no two holders may report in the order A, B, A within it
 	modelWindow   = 5 * time.Second
 	modelStep     = 500 * time.Millisecond
 	modelCopies   = 10 * time.Second // age of the oldest copy of the store
@@ -58,6 +59,8 @@
 	fence   int64                      // highest so far
 	windows map[int64]map[string]int64 // counts of reported windows
 	newest  int64                      // window reported
+	calls   map[string]time.Duration   // time of the last report, by holder
+	last    string                     // holder that reported last
 }
 
 type modelCopy struct {
@@ -89,7 +92,7 @@
 func newModel() *model {
 	return &model{
 		store: fake.NewRowStore(), network: fake.NewNetwork(), now: time.Hour, entries: map[string]*modelEntry{},
-		fences: map[int64]string{}, windows: map[int64]map[string]int64{},
+		fences: map[int64]string{}, windows: map[int64]map[string]int64{}, calls: map[string]time.Duration{},
 	}
 }
 
@@ -195,6 +198,10 @@
 	if old, ok := m.windows[window]; ok && !maps.Equal(old, counts) {
 		m.fail("window %d was reported as %v and by %s as %v", window, old, e.name, counts)
 	}
+	if at, ok := m.calls[e.name]; ok && m.last != e.name && m.now-at < modelTurn {
+		m.fail("%s reports after %s and %v after its own last report", e.name, m.last, m.now-at)
+	}
+	m.calls[e.name], m.last = m.now, e.name
 	m.fences[fence], m.fence, m.windows[window], m.newest = e.name, fence, maps.Clone(counts), max(m.newest, window)
 	return nil
 }
@@ -318,8 +325,8 @@
 
 // TestUsageThroughDrills guards against ONE of issue 50 in any order of drills of the store,
 // restarts, kills, pauses and cuts of entries, and lost and late writes: two entries hold the
-// lease, a fence falls or has two holders, or a window has two counts. The duty is done
-// again after the faults.
+// lease, a fence falls or has two holders, or a window has two counts; and against ONE of
+// issue 63, holders that report in the order A, B, A. The duty is done again after the faults.
 func TestUsageThroughDrills(t *testing.T) {
 	for i := range *drillSeeds {
 		seed := *firstDrillSeed + uint64(i)
--- a/coordination/elector/acquire.go
+++ b/coordination/elector/acquire.go
@@ -121,7 +121,8 @@
 // These are the leases that no other process can still hold, according to the
 // rows last read, and that have been free long enough for the rank of this
 // process. An outdated row does not tell that a lease was released, or that its last
-// holder was an earlier process of this name.
+// holder was an earlier process of this name. A former holder waits until it last held the
+// lease a lease duration ago.
 func (e *Elector) free(want map[string]int) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -142,6 +143,7 @@
 		if o.outdated || !o.lease.Released && !ownEarlier {
 			wait += e.settings.Duration + e.settings.Margin
 		}
+		wait = max(wait, e.returnWait(o.lease))
 		if now-o.since >= wait {
 			out = append(out, n)
 		}
@@ -156,9 +158,12 @@
 func (e *Elector) acquire(ctx context.Context, n string) error {
 	e.mu.Lock()
 	old := e.observed[n]
-	l := Lease{Holder: e.settings.Name, Address: e.settings.Address, Epoch: max(old.lease.Epoch, e.readAt.Number()) + 1, Beat: 1}
-	e.mu.Unlock()
 	sent := e.clock.Now()
+	l := Lease{
+		Holder: e.settings.Name, Address: e.settings.Address, Epoch: max(old.lease.Epoch, e.readAt.Number()) + 1, Beat: 1,
+		Former: e.formerHolders(old, e.settings.Name, sent),
+	}
+	e.mu.Unlock()
 	err := e.table.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: Prefix + n, Value: encode(l), Version: old.version})
 	if err != nil {
 		return fmt.Errorf("acquire lease %s: %w", n, err)
@@ -166,7 +171,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.observed, n)
-	e.held[n] = &heldLease{lease: l, version: old.version + 1, until: e.expiry(sent)}
-	e.log.Info("lease acquired", "lease", n, "epoch", l.Epoch, "outdated", old.outdated, "previous_holder", old.lease.Holder)
+	e.held[n] = &heldLease{lease: l, version: old.version + 1, until: e.expiry(sent), agedAt: sent}
+	e.log.Info("lease acquired", "lease", n, "epoch", l.Epoch, "outdated", old.outdated, "previous_holder", old.lease.Holder, "former_holders", len(l.Former))
 	return nil
 }
--- a/coordination/elector/doc.go
+++ b/coordination/elector/doc.go
@@ -9,6 +9,11 @@
 // radishspoke's own deployment, rights that must stay held in that time are granted by
 // package voter.
 //
+// A released lease may be acquired at once, but not by a process that held it before its last
+// holder and within its duration: calls of the two that overtake each other would then be
+// mixed. The row lists such former holders, each with the time since, which every holder
+// adds up on its own clock, so that a process that has started again finds itself there.
+//
 // A store that comes back from an older copy begins a new era, in which rows may be
 // older than what it has acknowledged. A lease that has not expired is then kept, and its
 // row written anew, whatever it says. Another process may acquire a lease only after it has
--- a/coordination/elector/drill_test.go
+++ b/coordination/elector/drill_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -34,12 +36,14 @@
 	candidates map[string]*candidate
 	epochs     map[int64]string // holder that was seen with an epoch
 	highest    int64            // epoch seen so far
+	heldAt     map[string]time.Duration
+	last       string // holder that was seen last
 }
 
 const leaseName = "x"
 
 func newDrillRig(c *qt.C) *drillRig {
-	g := &drillRig{c: c, store: fake.NewRowStore(), candidates: map[string]*candidate{}, epochs: map[int64]string{}}
+	g := &drillRig{c: c, store: fake.NewRowStore(), candidates: map[string]*candidate{}, epochs: map[int64]string{}, heldAt: map[string]time.Duration{}}
 	server := httptest.NewServer(g.store)
 	c.Cleanup(server.Close)
 	g.address, g.clock.At = strings.TrimPrefix(server.URL, "http://"), time.Hour
@@ -70,11 +74,12 @@
 }
 
 // run runs all processes for a time, and fails if two of them hold the lease, if an epoch has
-// a second holder, or if a holder has a lower epoch than one before.
+// a second holder, if a holder has a lower epoch than one before, or if holders take turns
+// within turnTime.
 func (g *drillRig) run(d time.Duration) {
 	const step = 500 * time.Millisecond
 	for end := g.clock.At + d; g.clock.At < end; g.clock.At += step {
-		for _, name := range []string{"a", "b", "c"} {
+		for _, name := range slices.Sorted(maps.Keys(g.candidates)) {
 			if p := g.candidates[name]; p != nil && !p.paused {
 				p.Step(context.Background())
 			}
@@ -94,9 +99,15 @@
 		g.c.Assert(!ok || first == name, qt.IsTrue, qt.Commentf("epoch %d of %s and of %s", epoch, first, name))
 		g.c.Assert(epoch >= g.highest, qt.IsTrue, qt.Commentf("epoch %d of %s after epoch %d", epoch, name, g.highest))
 		g.epochs[epoch], g.highest = name, epoch
+		held, ok := g.heldAt[name]
+		g.c.Assert(ok && name != g.last && g.clock.At-held < turnTime, qt.IsFalse, qt.Commentf("%s holds the lease after %s and %v after its last tenure", name, g.last, g.clock.At-held))
+		g.heldAt[name], g.last = g.clock.At, name
 	}
 }
 
+// turnTime is the time within which holders may not use a lease in the order A, B, A.
+const turnTime = 3 * time.Second
+
 // holder returns the names of the processes that hold the lease.
 func (g *drillRig) holder() string {
 	var names []string
@@ -127,7 +138,7 @@
 			g.start("a")
 			g.run(time.Second)
 			g.stop("b")
-			g.run(time.Second)
+			g.run(takeoverTime) // a held the lease shortly before b
 			g.c.Assert(g.holder(), qt.Equals, "a")
 			g.start("b")
 			g.store.Restore(copied)
--- a/coordination/elector/elector.go
+++ b/coordination/elector/elector.go
@@ -62,6 +62,10 @@
 
 	// Released is set when the holder has released the lease.
 	Released bool `json:"released,omitempty"`
+
+	// Former holds the processes other than Holder that held the lease within its
+	// last duration.
+	Former []FormerHolder `json:"former,omitempty"`
 }
 
 // heldLease is a lease of this process.
@@ -69,6 +73,7 @@
 	lease   Lease
 	version int64 // of the row, or versionUnknown
 	until   time.Duration
+	agedAt  time.Duration // time at which lease.Former has the given ages
 }
 
 // observedLease is a lease row as last read, of a lease that this process does
--- a/coordination/elector/renew.go
+++ b/coordination/elector/renew.go
@@ -64,7 +64,7 @@
 func (e *Elector) write(ctx context.Context, names []string, want map[string]int) error {
 	sent := e.clock.Now()
 	era := e.table.History().Position.Era
-	next, writes := e.prepare(names, want)
+	next, writes := e.prepare(names, want, sent)
 	err := e.table.Commit(ctx, uuid.NewString(), writes...)
 	eraEnded := e.table.History().Position.Era != era
 	e.mu.Lock()
@@ -81,8 +81,8 @@
 	return fmt.Errorf("renew leases: %w", err)
 }
 
-// prepare returns the next content of each named row and the writes for it.
-func (e *Elector) prepare(names []string, want map[string]int) (map[string]Lease, []radishspoke.Write) {
+// prepare returns the next content of each named row at the time now and the writes for it.
+func (e *Elector) prepare(names []string, want map[string]int, now time.Duration) (map[string]Lease, []radishspoke.Write) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	next := make(map[string]Lease, len(names))
@@ -91,6 +91,7 @@
 		h := e.held[n]
 		l := h.lease
 		l.Beat++
+		l.Former = aged(l.Former, now-h.agedAt, e.settings.Duration)
 		if _, ok := want[n]; !ok {
 			l.Released = true
 			h.until = 0
@@ -105,7 +106,7 @@
 func (e *Elector) applyRenewal(next map[string]Lease, sent time.Duration) {
 	for n, l := range next {
 		h := e.held[n]
-		h.lease = l
+		h.lease, h.agedAt = l, sent
 		h.version++
 		if l.Released {
 			e.log.Info("lease released", "lease", n, "epoch", l.Epoch)
