--- a/platform.go
+++ b/platform.go
@@ -18,6 +18,10 @@
 	// ErrUnavailable is returned if the service did not respond. A write may
 	// still have taken effect.
 	ErrUnavailable = errors.New("platform service unavailable")
+
+	// ErrUnanswered is returned together with ErrUnavailable if a call was sent and has no
+	// response. It may still take effect.
+	ErrUnanswered = errors.New("call has no answer")
 )
 
 // Row is one row in the table service of the platform.
