Keep a lease whose last call has no answer

Cause: a lease was released while a call under it was in progress or had no answer. In a planned stop the release could even be written between the check of the lease and the call.

Change: a call that carries an epoch is made with Elector.Use. It ends when the lease expires, and the lease is not released meanwhile. If the call has no answer, the lease is neither released nor acquired again by this process for the duration of a lease; it runs out if the process ends before. A call that was refused or not sent does not count.

--- a/coordination/elector/acquire.go
+++ b/coordination/elector/acquire.go
@@ -144,7 +144,7 @@
 			wait += e.settings.Duration + e.settings.Margin
 		}
 		wait = max(wait, e.returnWait(o.lease))
-		if now-o.since >= wait {
+		if now-o.since >= wait && now >= e.unansweredUntil[n] {
 			out = append(out, n)
 		}
 	}
--- a/coordination/elector/elector.go
+++ b/coordination/elector/elector.go
@@ -74,6 +74,7 @@
 	version int64 // of the row, or versionUnknown
 	until   time.Duration
 	agedAt  time.Duration // time at which lease.Former has the given ages
+	uses    int           // calls of Use in progress
 }
 
 // observedLease is a lease row as last read, of a lease that this process does
@@ -120,15 +121,24 @@
 	held     map[string]*heldLease
 	observed map[string]*observedLease
 	readAt   radishspoke.StorePosition // of the store when the rows were last read, or later
+	useEnded sync.Cond                 // on mu; signaled at the end of each use
+
+	unansweredUntil map[string]time.Duration // time until which a call without an answer may still arrive, by lease
 }
 
 // New returns an Elector that holds no lease.
 func New(s Settings, t radishspoke.Table, c radishspoke.Clock, wanted WantedFunc, log *slog.Logger) *Elector {
 	s.fill()
-	return &Elector{settings: s, table: t, clock: c, wanted: wanted, log: log, held: map[string]*heldLease{}, observed: map[string]*observedLease{}}
+	e := &Elector{
+		settings: s, table: t, clock: c, wanted: wanted, log: log,
+		held: map[string]*heldLease{}, observed: map[string]*observedLease{}, unansweredUntil: map[string]time.Duration{},
+	}
+	e.useEnded.L = &e.mu
+	return e
 }
 
-// Run renews and acquires leases until ctx ends, then releases them.
+// Run renews and acquires leases until ctx ends, then releases them. The contexts of all uses
+// must end with ctx, as Run waits for them.
 func (e *Elector) Run(ctx context.Context, t radishspoke.Timers) {
 	e.Step(ctx)
 	ticker.Each(ctx, t, e.settings.Duration/renewals, func() { e.Step(ctx) })
@@ -191,8 +201,9 @@
 
 const releaseTimeout = 2 * time.Second
 
-// releaseAll releases every lease.
+// releaseAll releases every lease, but for those of which a call has no answer.
 func (e *Elector) releaseAll() {
+	e.awaitUses()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if err := e.renew(ctx, nil); err != nil {
--- a/coordination/elector/renew.go
+++ b/coordination/elector/renew.go
@@ -25,7 +25,7 @@
 			return err
 		}
 	}
-	names := e.heldNames()
+	names := e.namesToWrite(want)
 	if len(names) == 0 {
 		return nil
 	}
@@ -59,7 +59,7 @@
 }
 
 // write renews the named leases in one transaction, and releases those of them
-// that are not wanted. This process stops holding a lease before it sends the
+// that are neither wanted nor in use. This process stops holding a lease before it sends the
 // release.
 func (e *Elector) write(ctx context.Context, names []string, want map[string]int) error {
 	sent := e.clock.Now()
@@ -92,7 +92,7 @@
 		l := h.lease
 		l.Beat++
 		l.Former = aged(l.Former, now-h.agedAt, e.settings.Duration)
-		if _, ok := want[n]; !ok {
+		if _, ok := want[n]; !ok && h.uses == 0 {
 			l.Released = true
 			h.until = 0
 		}
--- a/internal/assembler/fleetusage.go
+++ b/internal/assembler/fleetusage.go
@@ -6,6 +6,7 @@
 
 	"radishspoke"
 	"radishspoke/coordination/biller"
+	"radishspoke/coordination/elector"
 	"radishspoke/platform"
 	"radishspoke/transport/ticker"
 )
@@ -23,17 +24,20 @@
 	usageCandidates = 2
 )
 
-// usageReporter reports usage to the platform in the name of this process. It
-// implements biller.UsageReporter.
+// usageReporter reports usage to the platform in the name of this process, while it
+// holds the lease for that. It implements biller.UsageReporter.
 type usageReporter struct {
 	client *platform.Client
+	leases *elector.Elector
 	holder string
 }
 
 // ReportUsage reports the usage counts of a billing window, by team, in the
 // tenure with the given epoch. It implements biller.UsageReporter.
 func (r usageReporter) ReportUsage(ctx context.Context, epoch, window int64, counts map[string]int64) error {
-	return r.client.ReportUsage(ctx, platform.Tenure{Holder: r.holder, Epoch: epoch}, window, counts)
+	return r.leases.Use(ctx, biller.LeaseName, epoch, func(ctx context.Context) error {
+		return r.client.ReportUsage(ctx, platform.Tenure{Holder: r.holder, Epoch: epoch}, window, counts)
+	})
 }
 
 // wantedLeases returns the leases that this entry tries to take, with its rank
