Report no window again that the last holder has reported

Cause: each tenure of the lease for usage began with a call for the newest frozen window, also if it had been answered. Calls are what the platform counts as turns of holders, so every hand-over brought one that nobody needed.

Change: a lease has a note, which its holder writes with the next renewal or release. The note of the usage lease is the newest window that was reported. The next holder calls again only if the note does not name the frozen window: the answer was lost, or the holder was killed before it renewed the lease. A note from an outdated row is dropped. Package biller now takes a radishspoke.Lease.

Evidence: TestHandOverNeedsNoCall fails without the note (a window is reported twice) and passes with it.

--- a/coordination/biller/biller.go
+++ b/coordination/biller/biller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,7 +105,7 @@
 	table    radishspoke.Table
 	reporter UsageReporter
 	now      func() (time.Time, bool)
-	tenure   func() (epoch int64, ok bool)
+	lease    radishspoke.Lease
 	identity func() (process string, incarnation uint64)
 	log      *slog.Logger
 
@@ -132,14 +133,14 @@
 }
 
 // New returns a Biller. The function identity returns the name and incarnation of
-// this process, now the time of day and whether it is known, and tenure the
-// epoch of the usage lease and whether this process holds it.
+// this process, and now the time of day and whether it is known. The lease is
+// that with the name LeaseName; its note is the newest window that was reported.
 func New(s Settings, identity func() (string, uint64), t radishspoke.Table, r UsageReporter, now func() (time.Time, bool),
-	tenure func() (int64, bool), log *slog.Logger,
+	lease radishspoke.Lease, log *slog.Logger,
 ) *Biller {
 	s.setDefaults()
 	return &Biller{
-		settings: s, table: t, reporter: r, now: now, tenure: tenure, identity: identity, log: log,
+		settings: s, table: t, reporter: r, now: now, lease: lease, identity: identity, log: log,
 		windows: map[int64]map[lifetime]Counts{}, firstWindow: -1, unassigned: Counts{},
 	}
 }
@@ -246,7 +247,7 @@
 	}
 	b.mu.Unlock()
 	for {
-		epoch, ok := b.tenure()
+		epoch, ok := b.lease.Holds()
 		if !ok {
 			return nil
 		}
@@ -258,6 +259,7 @@
 				return err
 			}
 			b.reported = true
+			b.lease.SetNote(epoch, note(b.frozenWindow.Window))
 			b.log.Info("usage reported", "window", b.frozenWindow.Window, "epoch", epoch, "counts", b.frozenWindow.Counts)
 		}
 		due := b.window(at.Add(-b.settings.Settle)) - 1 // the newest window whose counts may be added up
@@ -298,7 +300,7 @@
 	}
 	switch {
 	case !r.Outdated:
-		b.frozenWindow, b.reported = f, false
+		b.frozenWindow, b.reported = f, f != nil && b.lease.Note() == note(f.Window)
 	case b.followed != epoch:
 		b.skip(f)
 	default: // the window that this process froze is the newest one, whatever the row says
@@ -307,6 +309,9 @@
 	return nil
 }
 
+// note returns the note of the lease which tells that a window was reported, as it was frozen.
+func note(window int64) string { return strconv.FormatInt(window, 10) }
+
 // skip handles the content of an outdated row, or its absence, at the start of a tenure. Windows
 // that are due may have been frozen and reported by an earlier holder, with counts that
 // are lost, and what the row holds may have been written late, by a holder that did
--- a/coordination/biller/biller_test.go
+++ b/coordination/biller/biller_test.go
@@ -75,9 +75,25 @@
 	return biller.New(biller.Settings{Window: 5 * time.Second, Settle: 1500 * time.Millisecond},
 		func() (string, uint64) { return name, n }, table, h.reporter,
 		func() (time.Time, bool) { return h.now, true },
-		func() (int64, bool) { return h.epoch, h.holder == name }, slog.New(slog.DiscardHandler))
+		testLease{h, name}, slog.New(slog.DiscardHandler))
 }
 
+// testLease is the lease of one process, which the harness hands over. It has no notes.
+type testLease struct {
+	harness *harness
+	name    string
+}
+
+func (l testLease) Holds() (int64, bool) { return l.harness.epoch, l.harness.holder == l.name }
+
+func (testLease) Use(ctx context.Context, _ int64, f func(context.Context) error) error {
+	return f(ctx)
+}
+
+func (testLease) Note() string { return "" }
+
+func (testLease) SetNote(int64, string) {}
+
 // TestWindows checks that two windows are reported, with the counts that another
 // entry sent before it was killed.
 func TestWindows(t *testing.T) {
--- a/coordination/biller/model_test.go
+++ b/coordination/biller/model_test.go
@@ -16,6 +16,7 @@
 	"testing/synctest"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
 	"radishspoke"
@@ -47,6 +48,7 @@
 	copies  []modelCopy
 	away    time.Duration // time until which the store is away
 	late    []lateWrite
+	reports []lateReport // in flight
 	starts  uint64
 	servers []*http.Server
 	failure string // the first violation
@@ -61,6 +63,7 @@
 	newest  int64                      // window reported
 	calls   map[string]time.Duration   // time of the last report, by holder
 	last    string                     // holder that reported last
+	order   []int64                    // windows, in the order of their reports
 }
 
 type modelCopy struct {
@@ -73,6 +76,15 @@
 	body []byte
 }
 
+// lateReport is a report that its sender has given up and that arrives late, unless its sender
+// ends before.
+type lateReport struct {
+	due           time.Duration
+	sender        *modelEntry
+	fence, window int64
+	counts        map[string]int64
+}
+
 // modelEntry is one process.
 type modelEntry struct {
 	m       *model
@@ -87,6 +99,7 @@
 	cut     bool          // off from the store
 	lose    int           // replies to writes that are lost
 	delay   int           // writes that are performed late
+	mute    int           // reports that are given up and arrive late
 }
 
 func newModel() *model {
@@ -130,7 +143,7 @@
 	log := slog.New(slog.DiscardHandler)
 	e.elector = elector.New(elector.Settings{Name: name, Exclusive: true, Duration: modelLease, Margin: modelMargin}, e.table, m, e.wanted, log)
 	e.biller = biller.New(biller.Settings{Window: modelWindow}, func() (string, uint64) { return name, e.starts }, e.table, e,
-		m.timeOfDay, func() (int64, bool) { return e.elector.Holds(biller.LeaseName) }, log)
+		m.timeOfDay, e.elector.Lease(biller.LeaseName), log)
 	m.entries[name] = e
 }
 
@@ -186,8 +199,22 @@
 	return w
 }
 
-// ReportUsage checks a report. It implements biller.UsageReporter.
-func (e *modelEntry) ReportUsage(_ context.Context, fence, window int64, counts map[string]int64) error {
+// ReportUsage reports usage under the lease. It implements biller.UsageReporter.
+func (e *modelEntry) ReportUsage(ctx context.Context, fence, window int64, counts map[string]int64) error {
+	return e.elector.Lease(biller.LeaseName).Use(ctx, fence, func(context.Context) error {
+		if e.mute > 0 {
+			e.mute--
+			due := e.m.now + time.Duration(1+e.mute%3)*modelStep
+			e.m.reports = append(e.m.reports, lateReport{due, e, fence, window, maps.Clone(counts)})
+			return radishspoke.ErrUnanswered
+		}
+		e.check(fence, window, counts)
+		return nil
+	})
+}
+
+// check checks a report that arrives.
+func (e *modelEntry) check(fence, window int64, counts map[string]int64) {
 	m := e.m
 	if holder, ok := m.fences[fence]; ok && holder != e.name {
 		m.fail("fence %d of %s and of %s", fence, holder, e.name)
@@ -202,8 +229,8 @@
 		m.fail("%s reports after %s and %v after its own last report", e.name, m.last, m.now-at)
 	}
 	m.calls[e.name], m.last = m.now, e.name
+	m.order = append(m.order, window)
 	m.fences[fence], m.fence, m.windows[window], m.newest = e.name, fence, maps.Clone(counts), max(m.newest, window)
-	return nil
 }
 
 // step runs all that one entry does at its intervals.
@@ -214,7 +241,7 @@
 	e.elector.Step(context.Background())
 	e.m.check()
 	err := e.biller.Step(context.Background())
-	if err != nil && !errors.Is(err, radishspoke.ErrUnavailable) && !errors.Is(err, radishspoke.ErrConflict) {
+	if err != nil && !errors.Is(err, radishspoke.ErrUnavailable) && !errors.Is(err, radishspoke.ErrUnanswered) && !errors.Is(err, radishspoke.ErrConflict) && !errors.Is(err, elector.ErrNotHeld) {
 		e.m.fail("%s: %v", e.name, err)
 	}
 }
@@ -242,6 +269,12 @@
 			}
 			return false
 		})
+		m.reports = slices.DeleteFunc(m.reports, func(r lateReport) bool {
+			if r.due <= m.now {
+				r.sender.check(r.fence, r.window, r.counts)
+			}
+			return r.due <= m.now
+		})
 		if m.now >= m.away {
 			m.copies = append(m.copies, modelCopy{m.now, m.store.Backup()})
 		}
@@ -292,13 +325,15 @@
 // restart kills an entry and starts it again after a time.
 func (m *model) restart(e *modelEntry, down time.Duration) {
 	delete(m.entries, e.name)
+	m.reports = slices.DeleteFunc(m.reports, func(r lateReport) bool { return r.sender == e })
 	m.run(down)
 	m.start(e.name)
 }
 
-// stop stops an entry as planned, and starts it again.
-func (m *model) stop(e *modelEntry, down time.Duration) {
+// stop stops an entry as planned, which takes a time, and starts it again.
+func (m *model) stop(e *modelEntry, leaving, down time.Duration) {
 	e.stopped = true
+	m.run(leaving)
 	e.elector.Step(context.Background())
 	_ = e.biller.SaveOnStop(context.Background()) // fails while the store is away
 	m.restart(e, down)
@@ -314,6 +349,28 @@
 	return m.entries[m.names()[0]]
 }
 
+// TestHandOverNeedsNoCall checks that a process that takes over the lease from one that was stopped
+// does not report again what that one has reported.
+func TestHandOverNeedsNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newModel()
+		defer m.close()
+		m.start("a")
+		m.start("b")
+		m.run(30 * time.Second)
+		for range 3 {
+			m.stop(m.holder(), 2*time.Second, time.Second)
+			m.run(12 * time.Second)
+		}
+		c := qt.New(t)
+		c.Assert(m.failure, qt.Equals, "")
+		c.Assert(len(m.order) >= 8, qt.IsTrue, qt.Commentf("%v", m.order))
+		for i, w := range m.order {
+			c.Assert(w, qt.Equals, m.order[0]+int64(i))
+		}
+	})
+}
+
 // drillSeeds is the number of schedules of TestUsageThroughDrills, with seeds from firstDrillSeed on.
 var (
 	drillSeeds     = flag.Int("drills.seeds", 40, "`NUMBER` of schedules of drills")
@@ -326,7 +383,8 @@
 // TestUsageThroughDrills guards against ONE of issue 50 in any order of drills of the store,
 // restarts, kills, pauses and cuts of entries, and lost and late writes: two entries hold the
 // lease, a fence falls or has two holders, or a window has two counts; and against ONE of
-// issue 63, holders that report in the order A, B, A. The duty is done again after the faults.
+// issue 63, holders that report in the order A, B, A, or reports that were given up and arrive
+// after those of the next holder. The duty is done again after the faults.
 func TestUsageThroughDrills(t *testing.T) {
 	for i := range *drillSeeds {
 		seed := *firstDrillSeed + uint64(i)
@@ -364,11 +422,12 @@
 	actions := []func(){
 		run, run, run, drill, drill,
 		func() { m.restart(entry(), upTo(2*time.Second)) },
-		func() { m.stop(entry(), upTo(2*time.Second)) },
+		func() { m.stop(entry(), upTo(3*time.Second), upTo(2*time.Second)) },
 		func() { entry().paused = m.now + upTo(9*time.Second) },
 		func() { e := entry(); e.cut = !e.cut },
 		func() { entry().lose += 1 + random.IntN(3) },
 		func() { entry().delay += 1 + random.IntN(6) },
+		func() { entry().mute += 1 + random.IntN(3) },
 		func() {
 			for range random.IntN(9) {
 				entry().biller.Begun("t")
@@ -393,7 +452,7 @@
 	}
 	m.meanwhile = nil
 	for _, e := range m.entries {
-		e.cut, e.lose, e.delay, e.paused = false, 0, 0, 0
+		e.cut, e.lose, e.delay, e.mute, e.paused = false, 0, 0, 0, 0
 	}
 	m.run(modelRecovery)
 	at, _ := m.timeOfDay()
--- a/coordination/elector/acquire.go
+++ b/coordination/elector/acquire.go
@@ -163,6 +163,9 @@
 		Holder: e.settings.Name, Address: e.settings.Address, Epoch: max(old.lease.Epoch, e.readAt.Number()) + 1, Beat: 1,
 		Former: e.formerHolders(old, e.settings.Name, sent),
 	}
+	if !old.outdated {
+		l.Note = old.lease.Note
+	}
 	e.mu.Unlock()
 	err := e.table.Commit(ctx, uuid.NewString(), radishspoke.Write{Key: Prefix + n, Value: encode(l), Version: old.version})
 	if err != nil {
@@ -171,7 +174,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.observed, n)
-	e.held[n] = &heldLease{lease: l, version: old.version + 1, until: e.expiry(sent), agedAt: sent}
+	e.held[n] = &heldLease{lease: l, version: old.version + 1, until: e.expiry(sent), agedAt: sent, note: l.Note}
 	e.log.Info("lease acquired", "lease", n, "epoch", l.Epoch, "outdated", old.outdated, "previous_holder", old.lease.Holder, "former_holders", len(l.Former))
 	return nil
 }
--- a/coordination/elector/elector.go
+++ b/coordination/elector/elector.go
@@ -63,6 +63,9 @@
 	// Released is set when the holder has released the lease.
 	Released bool `json:"released,omitempty"`
 
+	// Note is what the holder has noted for the next one.
+	Note string `json:"note,omitempty"`
+
 	// Former holds the processes other than Holder that held the lease within its
 	// last duration.
 	Former []FormerHolder `json:"former,omitempty"`
@@ -75,6 +78,7 @@
 	until   time.Duration
 	agedAt  time.Duration // time at which lease.Former has the given ages
 	uses    int           // calls of Use in progress
+	note    string        // that the next write of the row contains
 }
 
 // observedLease is a lease row as last read, of a lease that this process does
--- /dev/null
+++ b/coordination/elector/lease.go
@@ -0,0 +1,43 @@
+package elector
+
+import (
+	"context"
+
+	"radishspoke"
+)
+
+// lease implements radishspoke.Lease on one lease of an Elector.
+type lease struct {
+	elector *Elector
+	name    string
+}
+
+// Lease returns the lease with the given name.
+func (e *Elector) Lease(name string) radishspoke.Lease { return lease{e, name} }
+
+// Holds implements radishspoke.Lease.
+func (l lease) Holds() (epoch int64, ok bool) { return l.elector.Holds(l.name) }
+
+// Use implements radishspoke.Lease.
+func (l lease) Use(ctx context.Context, epoch int64, f func(context.Context) error) error {
+	return l.elector.Use(ctx, l.name, epoch, f)
+}
+
+// Note implements radishspoke.Lease.
+func (l lease) Note() string {
+	l.elector.mu.Lock()
+	defer l.elector.mu.Unlock()
+	if h, ok := l.elector.held[l.name]; ok {
+		return h.note
+	}
+	return ""
+}
+
+// SetNote implements radishspoke.Lease.
+func (l lease) SetNote(epoch int64, note string) {
+	l.elector.mu.Lock()
+	defer l.elector.mu.Unlock()
+	if h, ok := l.elector.held[l.name]; ok && h.lease.Epoch == epoch {
+		h.note = note
+	}
+}
--- a/coordination/elector/renew.go
+++ b/coordination/elector/renew.go
@@ -91,6 +91,7 @@
 		h := e.held[n]
 		l := h.lease
 		l.Beat++
+		l.Note = h.note
 		l.Former = aged(l.Former, now-h.agedAt, e.settings.Duration)
 		if _, ok := want[n]; !ok && h.uses == 0 {
 			l.Released = true
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -181,9 +181,10 @@
 	}, clock, e.peers)
 	e.retries = newRetryBudgets(s.Bounds, e.peers)
 	e.elector = elector.New(elector.Settings{Name: s.Name, Exclusive: true, Duration: s.Bounds.Lease + usageLeaseMargin, Margin: usageLeaseMargin}, e.table, clock, e.wantedLeases, env.Log)
+	usageLease := e.elector.Lease(biller.LeaseName)
 	e.biller = biller.New(biller.Settings{Window: s.Bounds.UsageWindow},
 		func() (string, uint64) { return s.Name, e.gossiper.Incarnation() }, e.table,
-		usageReporter{client: e.platformClient, leases: e.elector, holder: s.Name}, e.storeTime.Now, func() (int64, bool) { return e.elector.Holds(biller.LeaseName) }, env.Log)
+		usageReporter{client: e.platformClient, lease: usageLease, holder: s.Name}, e.storeTime.Now, usageLease, env.Log)
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort+gossipPort))
 	conn, err := net.ListenPacket("udp", address)
 	if err != nil {
--- a/internal/assembler/fleetusage.go
+++ b/internal/assembler/fleetusage.go
@@ -6,7 +6,6 @@
 
 	"radishspoke"
 	"radishspoke/coordination/biller"
-	"radishspoke/coordination/elector"
 	"radishspoke/platform"
 	"radishspoke/transport/ticker"
 )
@@ -28,14 +27,14 @@
 // holds the lease for that. It implements biller.UsageReporter.
 type usageReporter struct {
 	client *platform.Client
-	leases *elector.Elector
+	lease  radishspoke.Lease
 	holder string
 }
 
 // ReportUsage reports the usage counts of a billing window, by team, in the
 // tenure with the given epoch. It implements biller.UsageReporter.
 func (r usageReporter) ReportUsage(ctx context.Context, epoch, window int64, counts map[string]int64) error {
-	return r.leases.Use(ctx, biller.LeaseName, epoch, func(ctx context.Context) error {
+	return r.lease.Use(ctx, epoch, func(ctx context.Context) error {
 		return r.client.ReportUsage(ctx, platform.Tenure{Holder: r.holder, Epoch: epoch}, window, counts)
 	})
 }
