Take no part of an answer for whole when an upload is reset

What callers can get (MIXED, report of other operators): a target answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is being written. The part counted as the complete answer.

Cause: the system reports a reset of a connection once. If the write of the upload gets it, the read of the body sees an ordinary end of the connection, which is the end of a body without a length.

Change: at the end of such a body, the client of targets waits for the result of the write, and a failed write makes the body incomplete. The connections of the HTTP transport that the own deployment uses end a read with an error after a failed write.

--- a/transport/http.go
+++ b/transport/http.go
@@ -15,11 +15,15 @@
 )
 
 // HTTP returns an HTTP transport that dials through n and does not request
-// compressed responses.
+// compressed responses. A response without a length is not complete if its connection is reset.
 func HTTP(n radishspoke.Network) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return n.Dial(ctx, address)
+			c, err := n.Dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &failedWriteConn{Conn: c}, nil
 		},
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
--- a/transport/httpclient/httpclient.go
+++ b/transport/httpclient/httpclient.go
@@ -444,16 +444,34 @@
 
 // Read reads from the body. It returns io.EOF only at the end of a complete
 // response. A body without framing, other than a stream of events, is taken as
-// complete if the connection was closed and not reset.
+// complete if the request was written and the connection was closed and not reset.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.response.Body.Read(p)
 	if err == nil {
 		return n, nil
 	}
+	if errors.Is(err, errEOF) && r.Framing == UntilClose {
+		err = r.checkUpload()
+	}
 	r.finish(errors.Is(err, errEOF))
 	return n, err
 }
 
+// checkUpload returns io.EOF if the request was written, and an error that wraps
+// io.ErrUnexpectedEOF otherwise. The system reports a reset of a connection once: if
+// a write gets it, a read sees an ordinary end of the connection.
+func (r *Response) checkUpload() error {
+	if r.writeDone == nil {
+		return errEOF
+	}
+	err := <-r.writeDone // ends with the connection
+	r.writeDone = nil
+	if err != nil {
+		return fmt.Errorf("%w: connection ended before the request was written: %w", io.ErrUnexpectedEOF, err)
+	}
+	return errEOF
+}
+
 // Close releases the response. If its body was not read to the end, the
 // connection is closed, so that the target stops working on the request.
 func (r *Response) Close() error {
--- a/transport/targetclient/cutresponse_test.go
+++ b/transport/targetclient/cutresponse_test.go
@@ -3,14 +3,17 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"radishspoke"
 	"radishspoke/internal/fake"
+	"radishspoke/transport"
 	"radishspoke/transport/targetclient"
 )
 
@@ -119,3 +122,25 @@
 		e.Close()
 	}
 }
+
+// TestResetDuringUpload guards against MIXED at the services of the own deployment: a service resets
+// the connection while it still reads an upload, and the part of its answer counts as whole.
+func TestResetDuringUpload(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	go fake.ResetUploads(l)
+	s := targetclient.NewService(&transport.TCP{}, l.Addr().String())
+	for i := range 200 {
+		body := strings.NewReader(strings.Repeat("x", 64<<10<<(i%9)))
+		a, err := s.Call(c.Context(), "r1", radishspoke.Call{Method: http.MethodPost, Path: "/", Body: body})
+		if err != nil {
+			continue
+		}
+		time.Sleep(time.Duration(i%3) * 2 * time.Millisecond)
+		got, err := io.ReadAll(a.Body)
+		_ = a.Body.Close()
+		c.Check(err, qt.IsNotNil, qt.Commentf("upload of %d bytes: %q was taken as whole", body.Size(), got))
+	}
+}
