Reject responses with a status code below 100

Cause: net/http parses any three digits as a status code, and its server panics when it is asked to write one below 100.

Change: CheckHead, through which every response of a target passes, rejects such a code. The target has failed then, and the caller gets a 502 unless another target may be asked.

--- a/internal/fake/target.go
+++ b/internal/fake/target.go
@@ -143,7 +143,7 @@
 	}
 	w := bufio.NewWriter(c)
 	_, _ = w.WriteString(a.Before)
-	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n", a.Status, http.StatusText(a.Status))
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %03d %s\r\n", a.Status, http.StatusText(a.Status))
 	_ = h.Write(w)
 	body := a.Body
 	if a.TruncateAt > 0 {
--- a/transport/head.go
+++ b/transport/head.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"fmt"
 	"net/http"
 	"regexp"
 
@@ -15,11 +16,17 @@
 // is quoted in the value is a part of the text.
 var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}( [^"]*)?$`)
 
-// CheckHead returns ErrBrokenHead if another response begins inside the head of r. The
-// sender has then failed after a part of the head, and the rest of the head and the body
-// are those of the second response. Only the values of headers and the reason are looked
-// at, because a status line elsewhere makes the head malformed.
+// ErrStatus is returned for a response whose status code is below 100, which HTTP does not have.
+var ErrStatus = errors.New("status code of the response is none")
+
+// CheckHead returns ErrStatus if the status code of r is below 100, and ErrBrokenHead if another
+// response begins inside the head of r. The sender has then failed after a part of the head,
+// and the rest of the head and the body are those of the second response. Only the values
+// of headers and the reason are looked at, because a status line elsewhere makes the head malformed.
 func CheckHead(r *http.Response) error {
+	if r.StatusCode < http.StatusContinue {
+		return fmt.Errorf("status code %d: %w", r.StatusCode, ErrStatus)
+	}
 	if statusLine.MatchString(r.Status) {
 		return ErrBrokenHead
 	}
