Discard long answers to other requests as they arrive

Cause: an answer to another request on a connection is read to its end, up to 1 MB. It was kept in memory until then, so that a few hundred connections of a faulty target could fill that of an entry (LOST, report of other operators).

Change: its bytes are dropped as they arrive. The server of endless bytes moves to package fake, for tests of other packages.

--- a/transport/httpclient/endless_test.go
+++ b/transport/httpclient/endless_test.go
@@ -1,54 +1,20 @@
 package httpclient_test
 
 import (
-	"context"
+	"fmt"
 	"io"
-	"net"
+	"net/http"
+	"runtime"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
-	"radishspoke"
+	"radishspoke/internal/fake"
 	"radishspoke/internal/simulator"
 	"radishspoke/transport/httpclient"
 )
 
-// endless is a network with one target that answers each request with a fixed start
-// and then repeats a text until the connection is closed.
-type endless struct {
-	radishspoke.Network
-	start, repeated string
-	sent            atomic.Int64 // bytes
-	closed          chan struct{}
-}
-
-// maxSent ends a target that nobody stops reading from.
-const maxSent = 64 << 20
-
-// Dial implements radishspoke.Network.
-func (e *endless) Dial(context.Context, string) (net.Conn, error) {
-	client, target := net.Pipe()
-	go func() {
-		defer close(e.closed)
-		defer func() { _ = target.Close() }()
-		if _, err := target.Read(make([]byte, 4096)); err != nil {
-			return
-		}
-		text := e.start
-		for e.sent.Load() < maxSent {
-			n, err := target.Write([]byte(text))
-			e.sent.Add(int64(n))
-			if err != nil {
-				return
-			}
-			text = strings.Repeat(e.repeated, 1+4096/len(e.repeated))
-		}
-	}()
-	return client, nil
-}
-
 // TestEndlessBytes checks that bytes without end which are no response are read only
 // up to a bound, in each part of a response, and that the connection is closed.
 func TestEndlessBytes(t *testing.T) {
@@ -68,7 +34,7 @@
 	} {
 		t.Run(k.name, func(t *testing.T) {
 			c := qt.New(t)
-			n := &endless{start: k.start, repeated: k.repeated, closed: make(chan struct{})}
+			n := &fake.Endless{Start: k.start, Repeated: k.repeated}
 			client := httpclient.New(httpclient.Settings{}, n, &simulator.ManualClock{})
 			call := newCall("a")
 			call.Matches = nil
@@ -78,8 +44,28 @@
 				c.Assert(r.Close(), qt.IsNil)
 			}
 			c.Assert(err, qt.IsNotNil)
-			<-n.closed
-			c.Assert(n.sent.Load() < 256<<10, qt.IsTrue, qt.Commentf("%d bytes were read", n.sent.Load()))
+			sent := n.Wait()
+			c.Assert(sent < 256<<10, qt.IsTrue, qt.Commentf("%d bytes were read", sent))
 		})
 	}
 }
+
+// TestLongStray guards against LOST: the bodies of late answers to other requests were held in
+// memory until their end, 1 MB for each connection.
+func TestLongStray(t *testing.T) {
+	c := qt.New(t)
+	const length = 1 << 20 // bytes, which the script allocates once
+	stray := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", length))
+	s := &fake.Script{Texts: []string{stray + fake.StrayResponse("a", 200)}}
+	client := httpclient.New(httpclient.Settings{}, s, &simulator.ManualClock{})
+	call := newCall("a")
+	call.Matches = func(_ int, h http.Header, _ bool) bool { return len(h) > 1 }
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	r, err := client.Do(t.Context(), "target:1", call)
+	runtime.ReadMemStats(&after)
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Close(), qt.IsNil)
+	allocated := after.TotalAlloc - before.TotalAlloc
+	c.Assert(allocated < length*3/2, qt.IsTrue, qt.Commentf("%d bytes were allocated", allocated))
+}
--- a/transport/httpclient/httpclient.go
+++ b/transport/httpclient/httpclient.go
@@ -414,8 +414,7 @@
 	if framingOf(r) == UntilClose {
 		return errors.New("answer has no length")
 	}
-	var body bytes.Buffer
-	n, err := body.ReadFrom(http.MaxBytesReader(nil, r.Body, maxSkippedBody))
+	n, err := io.Copy(io.Discard, http.MaxBytesReader(nil, r.Body, maxSkippedBody))
 	if err != nil {
 		return fmt.Errorf("after %d bytes: %w", n, err)
 	}
