Bound what answers of the platform hold in memory

Cause: a response of the store or of the duties without end was read up to 32 MB, its head up to 10 MB, and several calls are made at a time.

--- a/internal/assembler/fleetpeers.go
+++ b/internal/assembler/fleetpeers.go
@@ -95,7 +95,7 @@
 		return fleetwatcher.Snapshot{}, fmt.Errorf("ask entry %s: status %d", address, resp.Status)
 	}
 	begun()
-	data, err := transport.ReadAll(resp, maxSnapshotBytes, snapshotStall, cancel)
+	data, err := transport.ReadAll(resp, transport.ReadOptions{Most: maxSnapshotBytes, Idle: snapshotStall}, cancel)
 	if err != nil {
 		return fleetwatcher.Snapshot{}, fmt.Errorf("ask entry %s: %w", address, err)
 	}
--- a/transport/http.go
+++ b/transport/http.go
@@ -12,6 +12,7 @@
 const (
 	maxIdleConns = 64 // per address
 	idleTimeout  = 30 * time.Second
+	maxHeadBytes = 64 << 10 // status line and headers of a response
 )
 
 // HTTP returns an HTTP transport that dials through n and does not request
@@ -28,5 +29,7 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
