Charge events that do not end to the budget of an entry

Cause: an entry collects an event of a stream until it ends, up to 256 KB, beside what its clients may hold.

Change: a part of more than 4 KB that is not forwarded yet is charged to the connection of the caller. If there is no room, the stream is broken off as one whose event is too long.

Evidence: TestManyEndlessEvents has 100 such streams and a budget of 12 MB. Without the charge they hold more than the bound of the test, 20 MB; with it, less, and some are broken off for lack of room.

--- a/coordination/fleetdispatcher/stream.go
+++ b/coordination/fleetdispatcher/stream.go
@@ -226,16 +226,11 @@
 	return out
 }
 
-// maxEventBytes is the maximum length of an event. Events hold a few tokens.
-const maxEventBytes = 256 << 10
-
-// errEventTooLong is returned for a stream with an event that does not end.
-var errEventTooLong = errors.New("event of the stream is too long")
-
 // copyEvents copies the events of a stream to the caller. It returns an error if
 // reading from the engine or writing to the caller fails.
 func (d *Dispatcher) copyEvents(j *job, aw *answerWriter, r *reply, timer *attemptTimer) error {
-	var pending []byte
+	pending := eventBuffer{conn: aw.conn}
+	defer pending.release()
 	buffer := make([]byte, copyBuffer)
 	restart := d.restartTime(j)
 	if !timer.hold() {
@@ -247,12 +242,14 @@
 	for {
 		n, err := r.Read(buffer)
 		empty = empty && n == 0
-		pending = append(pending, buffer[:n]...)
-		if end := eventreader.End(pending); end > 0 {
+		if err := pending.append(buffer[:n]); err != nil {
+			return err
+		}
+		if end := eventreader.End(pending.data); end > 0 {
 			if !timer.hold() {
 				return errSilent
 			}
-			events, foreign := eventreader.BeforeResponse(pending[:end])
+			events, foreign := eventreader.BeforeResponse(pending.data[:end])
 			if len(events) > 0 {
 				if err := d.forwardEvents(j, aw, r, events); err != nil {
 					return err
@@ -261,18 +258,15 @@
 			if foreign {
 				return eventreader.ErrBrokenOff
 			}
-			pending = append(pending[:0], pending[end:]...)
+			pending.drop(end)
 			// Only whole events show that the engine goes on.
 			timer.reset(j, maxSilence(j, d.Clock.Now(), restart))
 		}
-		j.partial = len(pending)
-		if len(pending) > maxEventBytes {
-			return errEventTooLong
-		}
+		j.partial = len(pending.data)
 		if errors.Is(err, io.EOF) {
 			// A head that a failing target has ended early may lack the media type by
 			// which the client of targets knows a stream.
-			if len(pending) > 0 || empty && r.framing == httpclient.UntilClose {
+			if len(pending.data) > 0 || empty && r.framing == httpclient.UntilClose {
 				return eventreader.ErrBrokenOff
 			}
 			if !timer.hold() {
--- a/transport/budgeter/body.go
+++ b/transport/budgeter/body.go
@@ -183,6 +183,10 @@
 	return nil
 }
 
+// TryCharge charges n bytes to a connection, which may be nil, and returns whether there is room
+// for them. Credit releases them.
+func (c *Conn) TryCharge(n int64) bool { return c == nil || c.budget.tryCharge(c, n) }
+
 // Credit releases n bytes that were charged to a connection, which may be nil.
 func (c *Conn) Credit(n int64) {
 	if c == nil {
