Play hand-overs in turn and late reports in the soak

Added: the way of each entry to the duties is a link of its own, which holds bytes up during a cut and delivers them with the first repetition of TCP after it, unless their sender has reset the connection. Entries that may report usage are restarted in turn, and the one that reports is stopped, killed or paused in a cut. The check `one` finds fences that fall and holders that report in the order A, B, A. A link that held bytes up before now also drops those of a connection that was reset meanwhile.

--- a/internal/fake/rowstore.go
+++ b/internal/fake/rowstore.go
@@ -4,6 +4,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -28,7 +29,7 @@
 	era     int64                   // number of times that the store has come back from an older copy
 	changed chan struct{}           // closed and replaced at each change
 	faults  RowStoreFaults
-	usage   []WindowReport
+	usage   []TimedReport
 	calls   int
 }
 
@@ -51,6 +52,12 @@
 	Counts map[string]int64 // by team
 }
 
+// TimedReport is a usage report with the time of its arrival.
+type TimedReport struct {
+	WindowReport
+	At time.Time
+}
+
 type rowKey struct{ table, key string }
 
 // NewRowStore returns an empty store.
@@ -145,9 +152,18 @@
 
 // Usage returns the usage reports accepted so far.
 func (s *RowStore) Usage() []WindowReport {
+	var out []WindowReport
+	for _, u := range s.TimedUsage() {
+		out = append(out, u.WindowReport)
+	}
+	return out
+}
+
+// TimedUsage returns the usage reports accepted so far, in the order of their arrival.
+func (s *RowStore) TimedUsage() []TimedReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]WindowReport(nil), s.usage...)
+	return slices.Clone(s.usage)
 }
 
 // Calls returns the number of calls so far, including rejected ones.
@@ -303,6 +319,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.usage = append(s.usage, u)
+	s.usage = append(s.usage, TimedReport{WindowReport: u, At: time.Now()})
 	writeResponse(w, []byte("{}"), nil)
 }
--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -98,6 +98,7 @@
 	s.planTurnedAway(rand.New(rand.NewPCG(s.settings.Seed, 7)), add)
 	s.planDrills(rand.New(rand.NewPCG(s.settings.Seed, 8)), add)
 	s.planEvacuation(rand.New(rand.NewPCG(s.settings.Seed, 9)), add)
+	s.planHandOvers(rand.New(rand.NewPCG(s.settings.Seed, 10)), add)
 	begin := s.settings.Quiet + time.Duration(rand.New(rand.NewPCG(s.settings.Seed, 3)).Int64N(int64(s.settings.Length/2)))
 	add(begin, func() { s.badPart.setActive(true) }, "callers send a part that crashes engines")
 	add(s.settings.Length, func() { s.badPart.setActive(false) }, "callers send no such part any more")
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -24,6 +24,7 @@
 	role         string // entry or sidecar
 	ip           string
 	store        *proxy // carries the connections of this process to the store
+	duties       *proxy // carries its calls of the duties of the platform
 	settingsPath string
 	logPath      string
 	delays       delayMonitor
@@ -38,6 +39,7 @@
 	startedAt     time.Time
 	terminatedAt  time.Time // last SIGTERM
 	paused        bool
+	resumptions   []time.Time // ends of pauses
 	starts        int
 	logged        int64 // size of the log when the process was started
 	ready         bool
@@ -53,10 +55,13 @@
 	if p.store, err = newProxy(net.JoinHostPort(ip, strconv.Itoa(storePort)), s.storeAddress); err != nil {
 		return nil, err
 	}
+	if p.duties, err = newProxy(net.JoinHostPort(ip, strconv.Itoa(dutiesPort)), s.storeAddress); err != nil {
+		return nil, err
+	}
 	address := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 	data, err := platform.EncodeSettings(platform.Settings{
 		Name: name, Zone: zone, IP: ip, Callers: address(callersPort), Ready: address(readyPort), FirstPort: firstPort, LastPort: lastPort,
-		Store: address(storePort), Duties: address(storePort), Engine: engine, Group: engineService, Link: linkRate, First: true,
+		Store: address(storePort), Duties: address(dutiesPort), Engine: engine, Group: engineService, Link: linkRate, First: true,
 		Bounds: platform.Bounds{
 			Grace: graceTime, Revoke: revokeTime, StrictRevoke: true, RetryRatio: 0.2, RetrySlack: 56, Lease: leaseTime, UsageWindow: usageWindow, Evacuate: evacuateTime,
 		},
@@ -158,6 +163,7 @@
 		p.paused, p.disturbedAt = true, time.Now()
 	case syscall.SIGCONT:
 		p.paused, p.disturbedAt = false, time.Now()
+		p.resumptions = append(p.resumptions, p.disturbedAt)
 	}
 	if err := p.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		p.soak.recorder.addFinding("soak", "", "process %s could not be sent signal %v: %v", p.name, s, err)
--- a/internal/soaker/proxy.go
+++ b/internal/soaker/proxy.go
@@ -4,9 +4,11 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // linkState holds the faults of a proxied link. The zero value is a link without
@@ -15,9 +17,14 @@
 	Delay time.Duration // added to each chunk of bytes, in both directions
 
 	// StallUpstream and StallDownstream hold back the bytes to the server and
-	// from the server. The bytes are delivered when the stall is over.
+	// from the server. The bytes are delivered when the stall is over, as TCP sends them
+	// again, unless their sender has reset the connection.
 	StallUpstream, StallDownstream bool
 
+	// Repeat delays bytes that are held back until TCP would send them again: it waits for
+	// firstRepeat after the first time, and twice as long each further time.
+	Repeat bool
+
 	Refuse bool // new connections are reset at once
 }
 
@@ -33,6 +40,7 @@
 	changed  chan struct{} // closed and replaced when link changes
 	conns    map[net.Conn]bool
 	faultyAt time.Time // last change to or from a faulty link
+	healedAt []time.Time
 	resetAt  time.Time // last reset of all connections
 }
 
@@ -94,7 +102,11 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			p.awaitLink(stalled)
+			if !p.awaitLink(stalled, from) {
+				reset(from)
+				reset(to)
+				return
+			}
 			if _, err := to.Write(buffer[:n]); err != nil {
 				_ = from.Close()
 				return
@@ -111,21 +123,65 @@
 	}
 }
 
-// awaitLink returns when the direction is no longer stalled and the delay of the
-// link has passed.
-func (p *proxy) awaitLink(stalled func(linkState) bool) {
+// awaitLink returns true when the direction is no longer stalled and the delay of the
+// link has passed, and false if the sender resets the connection before that.
+func (p *proxy) awaitLink(stalled func(linkState) bool, sender net.Conn) bool {
+	sent, repeats := time.Now(), false
 	for {
 		p.mu.Lock()
 		l, changed := p.link, p.changed
 		p.mu.Unlock()
 		if !stalled(l) {
+			if repeats {
+				time.Sleep(time.Until(nextRepeat(sent, time.Now())))
+			}
 			time.Sleep(l.Delay)
-			return
+			return !isReset(sender)
+		}
+		repeats = l.Repeat
+		select {
+		case <-changed:
+		case <-time.After(resetPoll):
+			if isReset(sender) {
+				return false
+			}
 		}
-		<-changed
 	}
 }
 
+const firstRepeat = 200 * time.Millisecond
+
+// nextRepeat returns the time at or after now at which TCP repeats what it sent at the time sent.
+func nextRepeat(sent, now time.Time) time.Time {
+	next := sent.Add(firstRepeat)
+	for wait := 2 * firstRepeat; next.Before(now); wait *= 2 {
+		next = next.Add(wait)
+	}
+	return next
+}
+
+// resetPoll is the interval at which the sender of bytes that are held back is checked.
+const resetPoll = 50 * time.Millisecond
+
+// isReset returns whether the other end has reset a connection, also if bytes that arrived
+// before have not been read.
+func isReset(c net.Conn) bool {
+	t, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return true // closed from this side
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		i, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err != nil || i.State == unix.BPF_TCP_CLOSE
+	})
+	return err != nil || closed
+}
+
 // setLink replaces the faults of the link. If resets is set, it also resets all
 // open connections.
 func (p *proxy) setLink(l linkState, resets bool) {
@@ -133,6 +189,9 @@
 	if p.link != (linkState{}) || l != (linkState{}) {
 		p.faultyAt = time.Now()
 	}
+	if l == (linkState{}) {
+		p.healedAt = append(p.healedAt, time.Now())
+	}
 	p.link = l
 	close(p.changed)
 	p.changed = make(chan struct{})
--- a/internal/soaker/recorder.go
+++ b/internal/soaker/recorder.go
@@ -30,8 +30,9 @@
 //     while a target that has got the request is sound, even if that is silent for a while;
 //   - evac: no request reaches a target in a zone that was evacuated more than 5 s (evacuateTime)
 //     ago, through processes that were not disturbed;
-//   - one: all usage reports of a window are equal, and an engine receives orders
-//     from a single lease holder;
+//   - one: all usage reports of a window are equal, their fences don't fall and have one holder
+//     each, no two holders report in the order A, B, A within leaseTime, and an engine receives
+//     orders from a single lease holder;
 //   - crash: no more than three requests with a part that crashes engines reach engines
 //     later than 3 s after the fifth crash, through entries that were not disturbed;
 //   - exit: a process exits only after SIGTERM or SIGKILL, and after SIGTERM within
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -70,6 +70,7 @@
 	callersPort = 8360
 	readyPort   = 8365
 	storePort   = 9000
+	dutiesPort  = 9001 // of the proxy to the duties of the platform, which the store serves too
 	targetPort  = 8181 // of the proxy of a target
 	backendPort = 8182 // of the target itself
 
@@ -330,6 +331,7 @@
 	monitors.Wait()
 	s.checkUsage()
 	s.checkFences()
+	s.checkTurns()
 	r := &Report{Findings: slices.Concat(s.recorder.evaluate(), s.badPart.evaluate(), s.badRequest.evaluate(), s.limit.evaluate()), Directory: s.directory}
 	r.Requests, r.Served, r.Refused, r.RefusedLate = len(s.recorder.requests), s.recorder.served, s.recorder.refused, s.recorder.refusedLate
 	r.Resumptions, r.Kept = s.recorder.resumptions, s.recorder.kept
@@ -463,6 +465,7 @@
 	for _, p := range append(append([]*process(nil), s.entries...), s.sidecars...) {
 		p.signal(syscall.SIGKILL)
 		p.store.close()
+		p.duties.close()
 	}
 	for _, t := range s.targets {
 		t.close()
