Bound what an engine of the own deployment sends

The status command decoded any length as well.

The status of a process has at most 16 MB.

The bound of the status command has no test.

--- a/cmd/radishspoke/status.go
+++ b/cmd/radishspoke/status.go
@@ -94,6 +94,9 @@
 	return r
 }
 
+// maxStatusBytes is the maximum length of the status of a process.
+const maxStatusBytes = 16 << 20
+
 // getJSON sends a GET request and decodes the JSON body of the response into v.
 func getJSON(ctx context.Context, url string, v any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
@@ -105,7 +108,7 @@
 		return fmt.Errorf("request status: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(v); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxStatusBytes)).Decode(v); err != nil {
 		return fmt.Errorf("decode status: %w", err)
 	}
 	return nil
--- a/transport/targetclient/engine.go
+++ b/transport/targetclient/engine.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &tokenStream{body: r.Body, lines: bufio.NewReaderSize(r.Body, maxLine), produced: produced}, nil
+	return &tokenStream{body: r.Body, lines: bufio.NewReaderSize(r.Body, maxLine), produced: produced, most: g.MaxTokens}, nil
 }
 
 // tokenStream implements radishspoke.TokenStream on the response to a generation.
@@ -66,6 +66,7 @@
 	body     io.ReadCloser
 	lines    *bufio.Reader
 	produced int // tokens so far, including those produced before the stream began
+	most     int // tokens of the generation; no bound if 0
 }
 
 func (s *tokenStream) Close() error { return s.body.Close() }
@@ -101,7 +102,9 @@
 	if err := json.Unmarshal(b, &l); err != nil {
 		return fmt.Errorf("%w: decode answer: %s", radishspoke.ErrTargetFailed, err.Error())
 	}
-	s.produced += len(l.Tokens)
+	if s.produced += len(l.Tokens); s.most > 0 && s.produced > s.most {
+		return fmt.Errorf("%w: engine produced more than the %d tokens asked for", radishspoke.ErrTargetFailed, s.most)
+	}
 	if out.Tokens == nil {
 		out.Tokens = l.Tokens
 	} else {
@@ -146,10 +149,11 @@
 		return err
 	}
 	defer func() { _ = r.Body.Close() }()
+	body := http.MaxBytesReader(nil, r.Body, maxAnswer)
 	if out == nil {
-		_, err = io.Copy(io.Discard, r.Body)
+		_, err = io.Copy(io.Discard, body)
 	} else {
-		err = json.NewDecoder(r.Body).Decode(out)
+		err = json.NewDecoder(body).Decode(out)
 	}
 	if err != nil {
 		return fmt.Errorf("%w: %s %s: %s", radishspoke.ErrTargetFailed, method, path, err.Error())
@@ -194,4 +198,5 @@
 const (
 	maxErrorText = 512      // bytes of an error response that are kept in the error
 	maxLine      = 64 << 10 // bytes in a line of the response to a generation
+	maxAnswer    = 1 << 20  // bytes of any other response
 )
