--- a/internal/assembler/fleetpeers.go
+++ b/internal/assembler/fleetpeers.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return fleetwatcher.Snapshot{}, fmt.Errorf("ask entry %s: %w", address, err)
 	}
-	s, err := decodeSnapshot(data, resp.Header.Get("Content-Encoding") == gzipEncoding)
+	s, err := decodeSnapshot(data, resp.Header.Get("Content-Encoding") == gzipEncoding, snapshotLimit(e.settings.Memory))
 	if err != nil {
 		return fleetwatcher.Snapshot{}, fmt.Errorf("ask entry %s: %w", address, err)
 	}
--- a/internal/assembler/fleetsnapshot.go
+++ b/internal/assembler/fleetsnapshot.go
@@ -10,6 +10,7 @@
 
 	"radishspoke"
 	"radishspoke/state/fleetwatcher"
+	"radishspoke/transport"
 )
 
 // gzipEncoding is the name of the encoding of compressed snapshots in HTTP headers.
@@ -89,17 +90,33 @@
 	return out.Bytes(), nil
 }
 
-// decodeSnapshot is the inverse of encode, or decodes plain JSON.
-func decodeSnapshot(data []byte, compressed bool) (fleetwatcher.Snapshot, error) {
+// snapshotMemoryShare is the part of the memory of a process that a decompressed snapshot may take.
+const snapshotMemoryShare = 0.25
+
+// snapshotLimit returns the maximum length in bytes of a decompressed snapshot in a process with
+// the given memory, 0 if it has no limit.
+func snapshotLimit(memory int64) int64 {
+	if memory == 0 {
+		return maxSnapshotJSONBytes
+	}
+	return min(maxSnapshotJSONBytes, int64(snapshotMemoryShare*float64(memory)))
+}
+
+// decodeSnapshot is the inverse of encode, or decodes plain JSON. The error wraps
+// transport.ErrTooLong if the decompressed snapshot has more bytes than most.
+func decodeSnapshot(data []byte, compressed bool, most int64) (fleetwatcher.Snapshot, error) {
 	var s fleetwatcher.Snapshot
 	if compressed {
 		r, err := gzip.NewReader(bytes.NewReader(data))
 		if err != nil {
 			return s, fmt.Errorf("decompress snapshot: %w", err)
 		}
-		if data, err = io.ReadAll(io.LimitReader(r, maxSnapshotJSONBytes)); err != nil {
+		if data, err = io.ReadAll(io.LimitReader(r, most+1)); err != nil {
 			return s, fmt.Errorf("decompress snapshot: %w", err)
 		}
+		if int64(len(data)) > most {
+			return s, fmt.Errorf("decompress snapshot to over %d bytes: %w", most, transport.ErrTooLong)
+		}
 	}
 	if err := json.Unmarshal(data, &s); err != nil {
 		return s, fmt.Errorf("decode snapshot: %w", err)
--- a/internal/assembler/fleetsnapshot_test.go
+++ b/internal/assembler/fleetsnapshot_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"radishspoke"
 	"radishspoke/state/fleetwatcher"
+	"radishspoke/transport"
 )
 
 // longTable returns a configuration with a number of routes.
@@ -39,17 +42,17 @@
 	} {
 		data, err := e.encode(s)
 		c.Assert(err, qt.IsNil)
-		got, err := decodeSnapshot(data, true)
+		got, err := decodeSnapshot(data, true, maxSnapshotJSONBytes)
 		c.Assert(err, qt.IsNil)
 		plain, err := json.Marshal(s)
 		c.Assert(err, qt.IsNil)
-		want, err := decodeSnapshot(plain, false)
+		want, err := decodeSnapshot(plain, false, maxSnapshotJSONBytes)
 		c.Assert(err, qt.IsNil)
 		c.Assert(got, qt.DeepEquals, want)
 		if s.Table == table {
 			c.Assert(len(data) < len(plain)/10, qt.IsTrue, qt.Commentf("%d of %d bytes", len(data), len(plain)))
 		}
-		_, err = decodeSnapshot(data[:len(data)/2], true)
+		_, err = decodeSnapshot(data[:len(data)/2], true, maxSnapshotJSONBytes)
 		c.Assert(err, qt.IsNotNil)
 	}
 }
@@ -71,3 +74,18 @@
 		})
 	}
 }
+
+// TestLongSnapshot guards against LOST: a short snapshot that unpacks to much more than the memory
+// of the process was decompressed in full.
+func TestLongSnapshot(t *testing.T) {
+	c := qt.New(t)
+	data, err := compress([]byte(`{"Table":"` + strings.Repeat("a", 120<<20) + `"}`))
+	c.Assert(err, qt.IsNil)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err = decodeSnapshot(data, true, snapshotLimit(40_000_000))
+	runtime.ReadMemStats(&after)
+	c.Assert(err, qt.ErrorIs, transport.ErrTooLong)
+	allocated := after.TotalAlloc - before.TotalAlloc
+	c.Assert(allocated < 100<<20, qt.IsTrue, qt.Commentf("%d bytes of %d were allocated", allocated, len(data)))
+}
