--- a/coordination/fleetdispatcher/eventbuffer.go
+++ b/coordination/fleetdispatcher/eventbuffer.go
@@ -12,8 +12,8 @@
 	// maxEventBytes is the maximum length of an event. Events hold a few tokens.
 	maxEventBytes = 256 << 10
 
-	// firstEventBytes is the first capacity of an eventBuffer. It is not charged.
-	firstEventBytes = 4 << 10
+	// freeEventBytes is the first capacity of an eventBuffer. It is not charged.
+	freeEventBytes = 4 << 10
 )
 
 // errEventTooLong is returned for a stream with an event that does not end.
@@ -35,8 +35,8 @@
 		return errEventTooLong
 	}
 	if length > cap(b.data) {
-		size := max(firstEventBytes, min(2*cap(b.data), maxEventBytes), length)
-		if size > firstEventBytes {
+		size := max(freeEventBytes, min(2*cap(b.data), maxEventBytes), length)
+		if size > freeEventBytes {
 			if !b.conn.TryCharge(int64(size)) {
 				return fmt.Errorf("read event of over %d bytes: %w", len(b.data), budgeter.ErrFull)
 			}
