--- a/coordination/elector/doc.go
+++ b/coordination/elector/doc.go
@@ -14,6 +14,10 @@
 // mixed. The row lists such former holders, each with the time since, which every holder
 // adds up on its own clock, so that a process that has started again finds itself there.
 //
+// Calls that carry the epoch of a lease are made with Use. A lease is not released while such a call
+// is in progress or has no answer, as what it has sent could arrive after the calls of the
+// next holder.
+//
 // A store that comes back from an older copy begins a new era, in which rows may be
 // older than what it has acknowledged. A lease that has not expired is then kept, and its
 // row written anew, whatever it says. Another process may acquire a lease only after it has
