Record when callers leave, what notices it and what is sent afterwards

Package callerwatcher looks at the connection of a request whenever a call is about to be made for it, with poll(2), which also sees a close behind unread bytes, and asks TCP how old the close is. Entries log 'caller left', sidecars 'entry left', with both; metrics count what noticed it, the calls, and the time to the end of the work. Nothing is decided by it yet.

--- a/coordination/fleetdispatcher/fleetdispatcher.go
+++ b/coordination/fleetdispatcher/fleetdispatcher.go
@@ -18,6 +18,7 @@
 	"radishspoke/platform"
 	"radishspoke/transport"
 	"radishspoke/transport/budgeter"
+	"radishspoke/transport/callerwatcher"
 	"radishspoke/transport/httpclient"
 )
 
@@ -266,6 +267,8 @@
 	interrupted := errors.Is(context.Cause(r.Context()), ErrInterrupted)
 	switch {
 	case r.Context().Err() != nil && !interrupted:
+		notice, late := callerwatcher.Left(r.Context())
+		d.Log.Info("caller left", "id", j.incoming.ID, "notice", notice, "late", late, "sent", j.visited != "", "running", j.mayHaveRun)
 		d.logRequest(j, 0, "caller left")
 		panic(http.ErrAbortHandler)
 	case fail == nil:
--- a/coordination/relayer/relayer.go
+++ b/coordination/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"radishspoke/platform"
 	"radishspoke/transport"
 	"radishspoke/transport/budgeter"
+	"radishspoke/transport/callerwatcher"
 	"radishspoke/transport/httpclient"
 )
 
@@ -163,6 +164,11 @@
 	}
 	o.HoldTime = headerTime(q.Header, headerHoldTime)
 	arrived := r.clock.Now()
+	defer func() {
+		if notice, late := callerwatcher.Left(q.Context()); notice != "" {
+			r.log.Info("entry left", "id", o.ID, "notice", notice, "late", late, "took", r.clock.Now()-arrived)
+		}
+	}()
 	ctx, cancel := context.WithTimeout(q.Context(), o.Deadline)
 	defer cancel()
 	r.setExpectedWait(w)
--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -40,6 +40,7 @@
 	"radishspoke/state/recorder"
 	"radishspoke/state/timekeeper"
 	"radishspoke/transport/budgeter"
+	"radishspoke/transport/callerwatcher"
 	"radishspoke/transport/httpclient"
 	"radishspoke/transport/ticker"
 )
@@ -81,6 +82,7 @@
 	configuration  atomic.Pointer[fleetdispatcher.Configuration] // in force for requests; nil if none is known
 	budget         *budgeter.Budget
 	callerServer   *http.Server
+	callerWatcher  *callerwatcher.Watcher
 	readyServer    *http.Server
 	peerServer     *http.Server
 	metricsServer  *http.Server
@@ -204,6 +206,8 @@
 	e.callerServer = &http.Server{
 		Handler: e.trackRequests(e.dispatcher), ReadHeaderTimeout: headerTimeout, ErrorLog: logger, ConnState: e.conns.SetState,
 	}
+	e.callerWatcher = callerwatcher.New(e.recorder)
+	e.callerWatcher.Watch(e.callerServer)
 	readyRouter := mux.NewRouter()
 	readyRouter.HandleFunc(platform.ReadyPath, e.serveReady)
 	e.metricsServer = newMetricsServer(s.IP, metricsPort, e.recorder)
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -29,6 +29,7 @@
 	"radishspoke/state/fleetwatcher"
 	"radishspoke/state/recorder"
 	"radishspoke/transport/budgeter"
+	"radishspoke/transport/callerwatcher"
 	"radishspoke/transport/httpclient"
 	"radishspoke/transport/ticker"
 )
@@ -58,7 +59,8 @@
 	relayServer    *http.Server
 	relayListener  *drainListener // of entries' connections; set by Start, nil if they do not use TCP
 	relayConns     *connTracker   // connections of entries
-	acceptedOrders atomic.Int64   // number of orders accepted by the engine
+	entryWatcher   *callerwatcher.Watcher
+	acceptedOrders atomic.Int64 // number of orders accepted by the engine
 	stopTasks      context.CancelFunc
 	tasks          sync.WaitGroup
 
@@ -151,6 +153,8 @@
 	}
 	d.budget = newBudget(s, relayer.Refusal(), env.Log)
 	r := recorder.New()
+	d.entryWatcher = callerwatcher.New(r)
+	d.entryWatcher.Watch(d.relayServer)
 	d.budget.Register(r)
 	r.Gauge("targets_listed", func() float64 { return float64(len(d.watcher.Instances())) })
 	r.Gauge("requests_running", func() float64 { return float64(d.relayer.Running()) })
--- a/internal/assembler/process.go
+++ b/internal/assembler/process.go
@@ -23,6 +23,7 @@
 	"radishspoke/state/tracker"
 	"radishspoke/state/watcher"
 	"radishspoke/transport/budgeter"
+	"radishspoke/transport/callerwatcher"
 	"radishspoke/transport/connector"
 	"radishspoke/transport/listener"
 	"radishspoke/transport/ticker"
@@ -64,9 +65,12 @@
 	tracker  *tracker.Tracker
 	recorder *recorder.Recorder
 	budget   *budgeter.Budget
-	server   *listener.Server
-	log      *slog.Logger
-	started  time.Time
+
+	callerWatcher *callerwatcher.Watcher
+
+	server  *listener.Server
+	log     *slog.Logger
+	started time.Time
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -90,6 +94,7 @@
 		recorder: recorder.New(), started: time.Now(),
 		incarnation: incarnationOf(env.Seed), budget: budgeter.New(budgeter.Settings{}, log),
 	}
+	p.callerWatcher = callerwatcher.New(p.recorder)
 	p.budget.Register(p.recorder)
 	return p
 }
@@ -173,6 +178,7 @@
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelDebug)}
 	limits := radishspoke.CallerLimits{HeaderBytes: maxHeader, HeaderTime: headerTimeout, IdleTime: httpIdleTimeout}
+	p.callerWatcher.Watch(s)
 	l = p.budget.Protect(s, l, budgeter.Port{Name: name, Share: share, Reserved: share == budgeter.OtherShare, Limits: func() radishspoke.CallerLimits { return limits }})
 	p.servers = append(p.servers, s)
 	p.run(func(context.Context) {
--- a/state/recorder/recorder.go
+++ b/state/recorder/recorder.go
@@ -58,6 +58,24 @@
 	metrics.GetOrRegisterCounter("attempts_given_up_total", r.Registry).Inc(1)
 }
 
+// ObserveLeft counts a request whose caller has left, by what has noticed it, and records for how
+// long the close had not been noticed. A negative time is left out.
+func (r *Recorder) ObserveLeft(notice string, late time.Duration) {
+	metrics.GetOrRegisterCounter(fmt.Sprintf("callers_left_total{notice=%q}", notice), r.Registry).Inc(1)
+	if late >= 0 {
+		r.observe("caller_left_late_seconds", late)
+	}
+}
+
+// ObserveAbandoned records the time from the moment at which it was noticed that a caller had left to
+// the end of the work on its request.
+func (r *Recorder) ObserveAbandoned(d time.Duration) { r.observe("abandoned_work_seconds", d) }
+
+// ObserveCall counts a call that was about to be made for a request, by whether the caller had left.
+func (r *Recorder) ObserveCall(left bool) {
+	metrics.GetOrRegisterCounter(fmt.Sprintf("calls_total{left=\"%t\"}", left), r.Registry).Inc(1)
+}
+
 // ObserveHold counts a hold that was "taken", "refused" or "dropped".
 func (r *Recorder) ObserveHold(what string) {
 	metrics.GetOrRegisterCounter("holds_"+what, r.Registry).Inc(1)
--- a/transport/budgeter/conn.go
+++ b/transport/budgeter/conn.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"container/list"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -326,6 +328,19 @@
 	return nil
 }
 
+// SyscallConn implements syscall.Conn. It returns an error if the connection is not of the system.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, fmt.Errorf("access connection of type %T: %w", c.Conn, errors.ErrUnsupported)
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("access connection: %w", err)
+	}
+	return raw, nil
+}
+
 // SetLinger sets what happens with unsent bytes when the connection is closed.
 func (c *Conn) SetLinger(seconds int) error {
 	if h, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
--- a/transport/budgeter/server.go
+++ b/transport/budgeter/server.go
@@ -80,7 +80,13 @@
 			next(n, st)
 		}
 	}
-	s.ConnContext = func(ctx context.Context, n net.Conn) context.Context { return context.WithValue(ctx, connKey{}, n) }
+	inner := s.ConnContext
+	s.ConnContext = func(ctx context.Context, n net.Conn) context.Context {
+		if inner != nil {
+			ctx = inner(ctx, n)
+		}
+		return context.WithValue(ctx, connKey{}, n)
+	}
 	b.gauge(fmt.Sprintf("client_connections{port=%q}", p.Name), func() float64 { return float64(state.conns) })
 	return &listener{Listener: l, budget: b, port: state}
 }
--- a/transport/httpclient/httpclient.go
+++ b/transport/httpclient/httpclient.go
@@ -17,6 +17,7 @@
 
 	"radishspoke"
 	"radishspoke/transport"
+	"radishspoke/transport/callerwatcher"
 	"radishspoke/transport/eventreader"
 )
 
@@ -190,6 +191,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	callerwatcher.Check(ctx)
 	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if c.settings.OnSend != nil {
 		c.settings.OnSend(call)
