--- a/internal/flooder/site.go
+++ b/internal/flooder/site.go
@@ -27,9 +27,11 @@
 	zone      = "a"
 	openPath  = "/order/new"  // answered with a short body
 	longPath  = "/order/long" // answered with longAnswer bytes
+	workPath  = "/order/work" // answered after workTime
 	relayPath = "/relay"
 
 	longAnswer = 4 << 20 // bytes
+	workTime   = 50 * time.Millisecond
 
 	callersPort = 8360
 	readyPort   = 8365
@@ -65,6 +67,7 @@
 // Site is a store, a target, an entry and a sidecar on loopback addresses. Create it with New.
 type Site struct {
 	Entry, Sidecar *Process
+	Target         *fake.Target // of the entry, and engine of the sidecar
 
 	settings Settings
 	store    *http.Server
@@ -103,7 +106,8 @@
 	if s.target, err = net.Listen("tcp", address(s.ip(serverHost), targetPort)); err != nil {
 		return errors.Wrap(err, "listen for target")
 	}
-	go fake.NewTarget("desk-1", respond).Serve(s.target)
+	s.Target = fake.NewTarget("desk-1", respond)
+	go s.Target.Serve(s.target)
 	if err := s.putRows(rows); err != nil {
 		return err
 	}
@@ -124,8 +128,11 @@
 // respond returns the answers of the target.
 func respond(r *http.Request, _ []byte) *fake.TargetResponse {
 	body := "ok"
-	if r.URL.Path == longPath {
+	switch r.URL.Path {
+	case longPath:
 		body = strings.Repeat("x", longAnswer)
+	case workPath:
+		time.Sleep(workTime)
 	}
 	return &fake.TargetResponse{Status: http.StatusOK, Header: platform.EncodeAnswer(platform.AnswerHeader{Stamped: true}, "desk-1"), Body: body}
 }
