Look whether the caller is there before each call for its request

Callers saw nothing; targets worked for nobody. The HTTP server learns of a close in a goroutine beside the handler, and nothing asked before a send whether the caller is there. A process that was held up (by its processor's share, a freeze) finds a request and the close behind it at the same time, and the handler wrote to a target over an idle connection before that goroutine ran. The client of targets did not look at the context either. The same holds between two calls of a request: prefill and decode, a refusal and the next target; and at a sidecar, whose callers are entries.

httpclient.Do, through which entries and sidecars send everything, now asks callerwatcher.Check on the open connection, right before it writes: poll(2) tells a close that has arrived, also behind unread bytes. The context of the request then ends, so that no other attempt begins, and the error wraps ErrNotSent, so that a KV cache that was prefilled is released. The connection goes back to the pool, and neither the engine nor the sidecar is taken for silent.

--- a/coordination/fleetdispatcher/generate.go
+++ b/coordination/fleetdispatcher/generate.go
@@ -11,6 +11,7 @@
 	"radishspoke/coordination/relayer"
 	"radishspoke/coordination/sequencer"
 	"radishspoke/platform"
+	"radishspoke/transport/callerwatcher"
 )
 
 // prefillPlan tells where the prompt of a request is prefilled. With the zero
@@ -347,6 +348,8 @@
 		report := d.loadReport(a, false)
 		report.Failed, report.NotReady = !a.NotRun, a.NotRun
 		d.Router.End(t.ID, report)
+	case errors.Is(err, callerwatcher.ErrLeft):
+		d.Router.End(t.ID, fleetrouter.Report{Inconclusive: true})
 	default:
 		d.Router.End(t.ID, newReport(ctx, nil, err))
 		d.Targets.CloseIdle(t.Address)
--- a/coordination/relayer/client.go
+++ b/coordination/relayer/client.go
@@ -18,6 +18,7 @@
 	"radishspoke"
 	"radishspoke/coordination/sequencer"
 	"radishspoke/platform"
+	"radishspoke/transport/callerwatcher"
 	"radishspoke/transport/httpclient"
 	"radishspoke/transport/ticker"
 )
@@ -276,7 +277,7 @@
 		},
 	})
 	if err != nil {
-		if ctx.Err() == nil || !answered {
+		if !errors.Is(err, callerwatcher.ErrLeft) && (ctx.Err() == nil || !answered) {
 			c.MarkSilent(engine, err.Error())
 		}
 		// A Relayer sends statusQueued before it does anything else. If the
--- a/internal/fake/cutlistener.go
+++ b/internal/fake/cutlistener.go
@@ -1,8 +1,11 @@
 package fake
 
 import (
+	"errors"
+	"fmt"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // CutListener is a listener whose accepted connections can be cut while the process
@@ -78,9 +81,18 @@
 	return written, err
 }
 
+// SyscallConn implements syscall.Conn for connections of the system.
+func (c *cutConn) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, fmt.Errorf("access connection of type %T: %w", c.Conn, errors.ErrUnsupported)
+	}
+	return s.SyscallConn()
+}
+
 // SetLinger is that of net.TCPConn. It has no effect on other connections.
 func (c *cutConn) SetLinger(seconds int) error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		return t.SetLinger(seconds)
 	}
 	return nil
--- a/transport/callerwatcher/callerwatcher.go
+++ b/transport/callerwatcher/callerwatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -9,6 +10,9 @@
 	"time"
 )
 
+// ErrLeft is the cause with which the context of a request ends if its caller has left.
+var ErrLeft = fmt.Errorf("caller has left: %w", context.Canceled)
+
 // Notice tells what has noticed that a caller left.
 type Notice string
 
@@ -44,7 +48,9 @@
 
 // request is a request in progress.
 type request struct {
+	server context.Context // of the HTTP server; it ends when the server has noticed that the caller left
 	conn   syscall.RawConn
+	end    context.CancelCauseFunc
 	record Recorder
 
 	mu     sync.Mutex
@@ -72,7 +78,7 @@
 	s.Handler = w.handler(s.Handler)
 }
 
-// handler returns a handler that calls next with a context that belongs to a request.
+// handler returns a handler that calls next with a context that ends when the caller has left.
 func (w *Watcher) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, q *http.Request) {
 		c, ok := q.Context().Value(connKey{}).(syscall.Conn)
@@ -85,13 +91,15 @@
 			next.ServeHTTP(rw, q)
 			return
 		}
-		r := &request{conn: raw, record: w.recorder}
+		ctx, cancel := context.WithCancelCause(q.Context())
+		r := &request{server: q.Context(), conn: raw, end: cancel, record: w.recorder}
 		stop := context.AfterFunc(q.Context(), func() { r.leave(ByServer) })
 		defer func() {
 			stop()
 			r.finish()
+			cancel(nil)
 		}()
-		next.ServeHTTP(rw, q.WithContext(context.WithValue(q.Context(), requestKey{}, r)))
+		next.ServeHTTP(rw, q.WithContext(context.WithValue(ctx, requestKey{}, r)))
 	})
 }
 
@@ -104,7 +112,7 @@
 	}
 }
 
-// leave records that the caller of a request has left.
+// leave records that the caller of a request has left and ends its context.
 func (r *request) leave(n Notice) {
 	r.mu.Lock()
 	first := r.left.IsZero()
@@ -115,21 +123,39 @@
 	r.mu.Unlock()
 	if first {
 		r.record.ObserveLeft(string(n), late)
+		r.end(ErrLeft)
 	}
 }
 
-// Check records whether the caller of a request has left when a call is about to be made for it. A
-// context without a request is fine.
-func Check(ctx context.Context) {
-	r, ok := ctx.Value(requestKey{}).(*request)
-	if !ok {
-		return
+// Check returns an error if ctx has ended, or if it belongs to a request whose caller has left; it
+// ends the context of that request. The error wraps ErrLeft if the caller has left, and the cause
+// otherwise. Check must be called before anything is sent for a request. A context without a request
+// is fine.
+func Check(ctx context.Context) error {
+	if r, ok := ctx.Value(requestKey{}).(*request); ok {
+		left := r.hasLeft()
+		r.record.ObserveCall(left)
+		if left {
+			return fmt.Errorf("check connection of the request: %w", ErrLeft)
+		}
 	}
-	closed := hasClosed(r.conn)
-	if closed {
+	if ctx.Err() != nil {
+		return fmt.Errorf("context has ended: %w", context.Cause(ctx))
+	}
+	return nil
+}
+
+// hasLeft reports whether the caller of a request has left.
+func (r *request) hasLeft() bool {
+	switch {
+	case r.server.Err() != nil:
+		r.leave(ByServer)
+	case hasClosed(r.conn):
 		r.leave(ByCall)
+	default:
+		return false
 	}
-	r.record.ObserveCall(closed || ctx.Err() != nil)
+	return true
 }
 
 // Left returns what has noticed that the caller of a request left, and for how long the close had
@@ -140,6 +166,9 @@
 	if !ok {
 		return "", -1
 	}
+	if r.server.Err() != nil {
+		r.leave(ByServer)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.notice, r.late
--- a/transport/httpclient/httpclient.go
+++ b/transport/httpclient/httpclient.go
@@ -184,14 +184,18 @@
 
 // Do sends a request to the target at address and returns its response. The
 // connection is closed when ctx ends, also while the body is being read, so that
-// the target stops working on the request. The error wraps ErrNotSent or ErrNoResponse,
+// the target stops working on the request. Nothing is sent if ctx has ended, or if it belongs to a
+// request whose caller has left, see package callerwatcher. The error wraps ErrNotSent or ErrNoResponse,
 // and in the second case also ErrClosed if no byte of a response arrived.
 func (c *Client) Do(ctx context.Context, address string, call *Call) (*Response, error) {
 	conn, err := c.connect(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	callerwatcher.Check(ctx)
+	if err := callerwatcher.Check(ctx); err != nil {
+		c.putBack(conn)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	release := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	if c.settings.OnSend != nil {
 		c.settings.OnSend(call)
@@ -269,6 +273,15 @@
 	return nil
 }
 
+// putBack adds a connection on which nothing was sent to the pool.
+func (c *Client) putBack(conn *connection) {
+	timeout := c.settings.IdleTimeout
+	if conn.expires > 0 { // it was idle before
+		timeout = conn.expires - c.clock.Now()
+	}
+	c.putIdle(conn, timeout)
+}
+
 // putIdle adds a connection to the pool for the given time, or closes it if the
 // pool holds the maximum number of connections to its address.
 func (c *Client) putIdle(conn *connection, timeout time.Duration) {
