Notice callers that leave although they have sent more than their request

If a caller has sent anything beyond its request, that byte arrives, and the server looks no further: the close of the caller is then noticed only when the answer is written, and targets work until then.

The watcher now looks at the connections of requests that have been in progress for 100 ms, every 100 ms, in the same way as before a call. Entries and sidecars on the platform do so, and all HTTP servers of the own deployment.

TestCallerLeavesDuringWork: the four cases with bytes beyond the request fail without the looks (the work goes on after two seconds) and pass with them, as do close, reset and end of sending, which the server notices.

--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -260,6 +260,7 @@
 	e.run(func() { e.gossiper.RunBeacons(ctx, timers, e.fillBeacon) })
 	e.run(e.gossiper.RunReceive)
 	e.run(func() { e.relayClient.Run(ctx, timers) })
+	e.run(func() { e.callerWatcher.Run(ctx, timers) })
 	e.run(func() { e.elector.Run(ctx, timers) })
 	e.run(func() { e.reportUsage(ctx, timers) })
 	e.run(func() { e.logEras(ctx) })
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -198,6 +198,7 @@
 	d.stopTasks = cancel
 	d.tasks.Go(func() { d.watcher.RunInstances(ctx) })
 	d.tasks.Go(func() { d.planLoop(ctx) })
+	d.tasks.Go(func() { d.entryWatcher.Run(ctx, ticker.New(d.env.Clock)) })
 	d.tasks.Go(d.receiveNotifications)
 	d.env.Log.Info("sidecar started", "process", d.settings.Name, "engine", d.settings.Engine)
 	return nil
--- a/transport/callerwatcher/callerwatcher.go
+++ b/transport/callerwatcher/callerwatcher.go
@@ -8,11 +8,17 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"radishspoke"
+	"radishspoke/transport/ticker"
 )
 
 // ErrLeft is the cause with which the context of a request ends if its caller has left.
 var ErrLeft = fmt.Errorf("caller has left: %w", context.Canceled)
 
+// interval is the time between two looks at the connections of requests in progress.
+const interval = 100 * time.Millisecond
+
 // Notice tells what has noticed that a caller left.
 type Notice string
 
@@ -20,6 +26,7 @@
 const (
 	ByServer Notice = "server" // the HTTP server has read the end of the connection
 	ByCall   Notice = "call"   // a call was about to be made for the request
+	ByLook   Notice = "look"   // a periodic look at the connection
 )
 
 // Recorder records the requests whose callers have left.
@@ -39,17 +46,21 @@
 // Watcher looks at the connections of the callers of HTTP servers. Create it with New.
 type Watcher struct {
 	recorder Recorder
+
+	mu       sync.Mutex
+	requests map[*request]struct{} // in progress
 }
 
 // New returns a Watcher without servers.
 func New(r Recorder) *Watcher {
-	return &Watcher{recorder: r}
+	return &Watcher{recorder: r, requests: map[*request]struct{}{}}
 }
 
 // request is a request in progress.
 type request struct {
 	server context.Context // of the HTTP server; it ends when the server has noticed that the caller left
 	conn   syscall.RawConn
+	began  time.Time
 	end    context.CancelCauseFunc
 	record Recorder
 
@@ -92,23 +103,32 @@
 			return
 		}
 		ctx, cancel := context.WithCancelCause(q.Context())
-		r := &request{server: q.Context(), conn: raw, end: cancel, record: w.recorder}
+		r := &request{server: q.Context(), conn: raw, began: time.Now(), end: cancel, record: w.recorder}
+		w.add(r)
 		stop := context.AfterFunc(q.Context(), func() { r.leave(ByServer) })
 		defer func() {
 			stop()
-			r.finish()
+			w.remove(r)
 			cancel(nil)
 		}()
 		next.ServeHTTP(rw, q.WithContext(context.WithValue(ctx, requestKey{}, r)))
 	})
 }
 
-// finish records how long the work on a request went on after its caller had left.
-func (r *request) finish() {
+func (w *Watcher) add(r *request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.requests[r] = struct{}{}
+}
+
+func (w *Watcher) remove(r *request) {
+	w.mu.Lock()
+	delete(w.requests, r)
+	w.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.left.IsZero() {
-		r.record.ObserveAbandoned(time.Since(r.left))
+		w.recorder.ObserveAbandoned(time.Since(r.left))
 	}
 }
 
@@ -127,6 +147,30 @@
 	}
 }
 
+// Run looks at the connections of the requests in progress until ctx ends.
+func (w *Watcher) Run(ctx context.Context, t radishspoke.Timers) {
+	ticker.Each(ctx, t, interval, func() {
+		for _, r := range w.lasting() {
+			if hasClosed(r.conn) {
+				r.leave(ByLook)
+			}
+		}
+	})
+}
+
+// lasting returns the requests that have been in progress for an interval.
+func (w *Watcher) lasting() []*request {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*request
+	for r := range w.requests {
+		if time.Since(r.began) >= interval {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Check returns an error if ctx has ended, or if it belongs to a request whose caller has left; it
 // ends the context of that request. The error wraps ErrLeft if the caller has left, and the cause
 // otherwise. Check must be called before anything is sent for a request. A context without a request
