Let callers of the soak leave at every stage of a request

Half of those that leave now do so at any time of their budget, four further callers leave before each answer, and a check 'gone' finds requests that reach a sound target more than 500 ms after their caller has left, also through entries that were paused. The summary counts the requests that were left, and the calls for them after that.

--- a/cmd/radishsoak/main.go
+++ b/cmd/radishsoak/main.go
@@ -118,8 +118,8 @@
 
 // printSummary prints the counts of a soak test in one line.
 func printSummary(seed uint64, r *soaker.Report) {
-	fmt.Printf("seed %d: %d requests, %d served, refused %s (%d after a target got them), %d streams resumed, %d not (attempts %s, failed %v), %d answers halted, %d whole after their key was withdrawn, %d beside an evacuated zone, %d late beside scheduling delays, %d findings\n",
-		seed, r.Requests, r.Served, byStatus(r.Refused), r.RefusedLate, r.Resumed, r.NotResumed, byStatus(r.Resumptions), r.Refusals, r.Halted, r.Kept, r.Elsewhere, r.Delayed, len(r.Findings))
+	fmt.Printf("seed %d: %d requests, %d served, refused %s (%d after a target got them), %d streams resumed, %d not (attempts %s, failed %v), %d answers halted, %d whole after their key was withdrawn, %d beside an evacuated zone, %d left by their callers (%d calls for them after that), %d late beside scheduling delays, %d findings\n",
+		seed, r.Requests, r.Served, byStatus(r.Refused), r.RefusedLate, r.Resumed, r.NotResumed, byStatus(r.Resumptions), r.Refusals, r.Halted, r.Kept, r.Elsewhere, r.Left, r.LeftBefore, r.Delayed, len(r.Findings))
 }
 
 // byStatus returns the total of counts by status, followed by each of them.
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -48,6 +48,7 @@
 	uniqueSuffixTokens = 2890
 
 	budgetSlack   = 500 * time.Millisecond // time after the end of the time budget within which the response must be complete
+	leavers       = 4                      // further callers that abandon all requests
 	maxThinkTime  = 30 * time.Millisecond  // longest pause of a caller between two requests
 	abandonRate   = 0.04                   // share of requests that the caller abandons early
 	reconnectRate = 0.05                   // share of requests before which the caller opens a new connection
@@ -58,7 +59,9 @@
 	soak     *Soak
 	name     string
 	random   *rand.Rand
-	requests int // sent so far; part of the request ID
+	stages   *rand.Rand // of the times at which it leaves
+	leaves   bool       // it leaves before the answer to each request
+	requests int        // sent so far; part of the request ID
 	entry    *process
 	conn     net.Conn
 	reader   *bufio.Reader // of the caller itself
@@ -150,12 +153,15 @@
 	}
 	team, _ := teamOf(id)
 	budget := time.Duration(600+c.random.IntN(1400)) * time.Millisecond
-	abandons := c.random.Float64() < abandonRate
+	abandons := c.random.Float64() < abandonRate || c.leaves
 	began := time.Now()
 	q := requestRecord{id: id, team: team, key: key, entry: c.entry.name, sent: began, maxRuns: k.maxRuns}
 	limit := budget + budgetSlack
 	if abandons {
 		limit = time.Duration(c.random.IntN(40)) * time.Millisecond
+		if c.stages.IntN(2) == 0 { // at any stage of the request
+			limit = time.Duration(c.stages.Int64N(int64(budget)))
+		}
 	}
 	_ = c.conn.SetDeadline(began.Add(limit)) // can't fail on an open connection
 	if c.sent, c.limit = began, began.Add(limit); abandons {
@@ -179,6 +185,9 @@
 	if err != nil || r.Close {
 		c.disconnect()
 	}
+	if abandons && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.soak.departures.add(id, departure{entry: entry, sent: began, plain: !k.streaming})
+	}
 	q.complete = err == nil
 	c.soak.recorder.addRequest(q)
 	if q.status == http.StatusUnauthorized && q.fromEntry {
--- a/internal/soaker/recorder.go
+++ b/internal/soaker/recorder.go
@@ -30,6 +30,7 @@
 //     while a target that has got the request is sound, even if that is silent for a while;
 //   - evac: no request reaches a target in a zone that was evacuated more than 5 s (evacuateTime)
 //     ago, through processes that were not disturbed;
+//   - gone: no request reaches a sound target later than 500 ms (goneTime) after its caller has left;
 //   - one: all usage reports of a window are equal, their fences don't fall and have one holder
 //     each, no two holders report in the order A, B, A within leaseTime, and an engine receives
 //     orders from a single lease holder;
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -108,6 +108,7 @@
 	release      release
 	stale        staleCheck
 	evacuation   evacuationCheck
+	departures   departureCheck
 	entries      []*process
 	sidecars     []*process
 	targets      []*target
@@ -130,7 +131,8 @@
 // code. Halted is the number of answers of which a half had been
 // sent when their target fell silent. Kept is the number of whole answers whose key was
 // withdrawn after their request had been sent. Elsewhere is the number of requests that targets in
-// other zones got while one had to be evacuated. Delayed is the number of requests and exits that were late and
+// other zones got while one had to be evacuated. Left is the number of requests whose callers left,
+// and LeftBefore that of calls for them that reached a target after that. Delayed is the number of requests and exits that were late and
 // are no findings, because the process or this program had to wait for a processor.
 type Report struct {
 	Requests, Served    int
@@ -141,6 +143,7 @@
 	Refusals            map[string]int
 	Halted, Kept        int
 	Elsewhere           int
+	Left, LeftBefore    int
 	Delayed             int
 	Findings            []Finding
 	Directory           string // of the logs of the processes
@@ -311,8 +314,11 @@
 	s.awaitReady(startTimeout)
 	stopCallers := make(chan struct{})
 	var callers sync.WaitGroup
-	for i := range s.settings.Consumers {
-		c := &caller{soak: s, name: fmt.Sprint("c", i), random: rand.New(rand.NewPCG(s.settings.Seed, uint64(100+i)))}
+	for i := range s.settings.Consumers + leavers {
+		c := &caller{
+			soak: s, name: fmt.Sprint("c", i), random: rand.New(rand.NewPCG(s.settings.Seed, uint64(100+i))),
+			stages: rand.New(rand.NewPCG(s.settings.Seed, uint64(300+i))), leaves: i >= s.settings.Consumers,
+		}
 		callers.Go(func() { c.run(stopCallers) })
 	}
 	s.injectFaults()
@@ -338,6 +344,7 @@
 	r.Resumed, r.NotResumed = int(s.release.resumed.Load()), int(s.release.refused.Load())
 	r.Refusals = s.release.refusalCounts()
 	r.Delayed, r.Elsewhere = s.recorder.delayed, s.evacuation.elsewhere
+	r.Left, r.LeftBefore = s.departures.counts()
 	for _, t := range s.targets {
 		r.Halted += int(t.silence.halted.Load())
 	}
--- a/internal/soaker/target.go
+++ b/internal/soaker/target.go
@@ -141,6 +141,7 @@
 	if h, err := platform.DecodeReceivedHeader(r.Header); err == nil && !h.PrefillOnly {
 		t.soak.recorder.addArrival(h.ID)
 	}
+	t.soak.checkLeft(t, platform.RequestID(r.Header))
 	limit, ok := t.soak.limit.recordArrival(t, id, platform.RequestID(r.Header))
 	a := t.handle(id, r, body, t.silence.await(r.Header))
 	if a == nil || !ok {
