Look whether the caller is there before a request of the own deployment is sent

It asks before the claim and before the send. A request that a sidecar has already is not held back, as the sidecar must learn that nobody waits for it.

--- a/coordination/dispatcher/attempt.go
+++ b/coordination/dispatcher/attempt.go
@@ -16,6 +16,7 @@
 	"radishspoke/coordination/router"
 	"radishspoke/internal/disabler"
 	"radishspoke/protocol/wire"
+	"radishspoke/transport/callerwatcher"
 	"radishspoke/transport/connector"
 )
 
@@ -133,7 +134,9 @@
 				incarnation = s.Incarnation
 			}
 			if !sent {
-				err = d.claim(ctx, j, t, incarnation)
+				if err = callerwatcher.Check(ctx); err == nil {
+					err = d.claim(ctx, j, t, incarnation)
+				}
 			}
 			if err != nil {
 				_ = s.Close()
@@ -169,6 +172,11 @@
 // caller has disconnected.
 func (d *Dispatcher) exchange(ctx context.Context, j *job, s connector.Stream, incarnation uint64, attach bool) error {
 	defer func() { _ = s.Close() }()
+	if !attach { // otherwise the sidecar has the request, and must learn that the caller has left
+		if err := callerwatcher.Check(ctx); err != nil { // the claim took time
+			return fmt.Errorf("send request: %w", err)
+		}
+	}
 	stop := context.AfterFunc(ctx, func() {
 		_ = s.Write(&wire.Upload{Aborted: true})
 		_ = s.Close()
