Give the caller that checks the recovery its random numbers

The soak ended with a nil pointer when the caller of the last check drew whether it leaves: it is made in another place than the others. Both use newCaller now.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -69,6 +69,15 @@
 	sent, limit time.Time // of the request in progress; limit is zero if it must not be extended
 }
 
+// newCaller returns a caller without a connection, whose random numbers are from a stream of the seed.
+func newCaller(s *Soak, name string, stream uint64) *caller {
+	const stagesStream = 1 << 16 // added to the stream
+	return &caller{
+		soak: s, name: name,
+		random: rand.New(rand.NewPCG(s.settings.Seed, stream)), stages: rand.New(rand.NewPCG(s.settings.Seed, stagesStream+stream)),
+	}
+}
+
 // Read reads from the connection. Once the limit has passed, it goes on for the time for which the
 // entry has waited for a processor since the request was sent.
 func (c *caller) Read(b []byte) (int, error) {
--- a/internal/soaker/soak.go
+++ b/internal/soaker/soak.go
@@ -315,10 +315,8 @@
 	stopCallers := make(chan struct{})
 	var callers sync.WaitGroup
 	for i := range s.settings.Consumers + leavers {
-		c := &caller{
-			soak: s, name: fmt.Sprint("c", i), random: rand.New(rand.NewPCG(s.settings.Seed, uint64(100+i))),
-			stages: rand.New(rand.NewPCG(s.settings.Seed, uint64(300+i))), leaves: i >= s.settings.Consumers,
-		}
+		c := newCaller(s, fmt.Sprint("c", i), uint64(100+i))
+		c.leaves = i >= s.settings.Consumers
 		callers.Go(func() { c.run(stopCallers) })
 	}
 	s.injectFaults()
@@ -412,7 +410,7 @@
 // checkRecoveryOf sends requests to an entry, in turn of each kind that it has not served yet,
 // until all are served or the time end.
 func (s *Soak) checkRecoveryOf(p *process, end time.Time) {
-	c := &caller{soak: s, name: "r" + p.name, random: rand.New(rand.NewPCG(s.settings.Seed, 2))}
+	c := newCaller(s, "r"+p.name, 2)
 	defer c.disconnect()
 	statuses := make([]int, len(kinds)) // of the last request of each kind
 	attempts := make([]int, len(kinds))
