--- a/internal/flooder/crowd.go
+++ b/internal/flooder/crowd.go
@@ -85,6 +85,15 @@
 	}
 }
 
+// Send sends bytes over all connections.
+func (w *Crowd) Send(b []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.conns {
+		_, _ = c.Write(b) // fails if the server has closed it
+	}
+}
+
 // Close closes all connections.
 func (w *Crowd) Close() {
 	w.mu.Lock()
