--- a/internal/assembler/fleetentry.go
+++ b/internal/assembler/fleetentry.go
@@ -207,6 +207,7 @@
 		Handler: e.trackRequests(e.dispatcher), ReadHeaderTimeout: headerTimeout, ErrorLog: logger, ConnState: e.conns.SetState,
 	}
 	e.callerWatcher = callerwatcher.New(e.recorder)
+	e.callerWatcher.Watch(e.callerServer)
 	readyRouter := mux.NewRouter()
 	readyRouter.HandleFunc(platform.ReadyPath, e.serveReady)
 	e.metricsServer = newMetricsServer(s.IP, metricsPort, e.recorder)
@@ -242,7 +243,7 @@
 		}
 		if t, ok := n.(*net.TCPListener); ok && l.server == e.callerServer {
 			e.listener = newDrainListener(t)
-			n = e.callerWatcher.Watch(l.server, e.listener)
+			n = e.listener
 		}
 		n = e.budget.Protect(l.server, n, l.port)
 		e.run(func() { _ = l.server.Serve(n) }) // ends when the server is closed
@@ -259,6 +260,7 @@
 	e.run(func() { e.gossiper.RunBeacons(ctx, timers, e.fillBeacon) })
 	e.run(e.gossiper.RunReceive)
 	e.run(func() { e.relayClient.Run(ctx, timers) })
+	e.run(func() { e.callerWatcher.Run(ctx, timers) })
 	e.run(func() { e.elector.Run(ctx, timers) })
 	e.run(func() { e.reportUsage(ctx, timers) })
 	e.run(func() { e.logEras(ctx) })
--- a/internal/assembler/fleetsidecar.go
+++ b/internal/assembler/fleetsidecar.go
@@ -154,6 +154,7 @@
 	d.budget = newBudget(s, relayer.Refusal(), env.Log)
 	r := recorder.New()
 	d.entryWatcher = callerwatcher.New(r)
+	d.entryWatcher.Watch(d.relayServer)
 	d.budget.Register(r)
 	r.Gauge("targets_listed", func() float64 { return float64(len(d.watcher.Instances())) })
 	r.Gauge("requests_running", func() float64 { return float64(d.relayer.Running()) })
@@ -189,7 +190,7 @@
 	}
 	if t, ok := l.(*net.TCPListener); ok {
 		d.relayListener = newDrainListener(t)
-		l = d.entryWatcher.Watch(d.relayServer, d.relayListener)
+		l = d.relayListener
 	}
 	l = d.budget.Protect(d.relayServer, l, budgeter.Port{Name: "relay", Share: budgeter.MainShare, Limits: peerLimits})
 	d.tasks.Go(func() { _ = d.relayServer.Serve(l) }) // ends when the server is closed
@@ -197,6 +198,7 @@
 	d.stopTasks = cancel
 	d.tasks.Go(func() { d.watcher.RunInstances(ctx) })
 	d.tasks.Go(func() { d.planLoop(ctx) })
+	d.tasks.Go(func() { d.entryWatcher.Run(ctx, ticker.New(d.env.Clock)) })
 	d.tasks.Go(d.receiveNotifications)
 	d.env.Log.Info("sidecar started", "process", d.settings.Name, "engine", d.settings.Engine)
 	return nil
--- a/internal/assembler/process.go
+++ b/internal/assembler/process.go
@@ -177,9 +177,11 @@
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelDebug)}
 	limits := radishspoke.CallerLimits{HeaderBytes: maxHeader, HeaderTime: headerTimeout, IdleTime: httpIdleTimeout}
-	l = callerwatcher.New(p.recorder).Watch(s, l)
+	w := callerwatcher.New(p.recorder)
+	w.Watch(s)
 	l = p.budget.Protect(s, l, budgeter.Port{Name: name, Share: share, Reserved: share == budgeter.OtherShare, Limits: func() radishspoke.CallerLimits { return limits }})
 	p.servers = append(p.servers, s)
+	p.run(func(ctx context.Context) { w.Run(ctx, p.timers) })
 	p.run(func(context.Context) {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			p.log.Error("HTTP server failed", "address", address, "error", err)
--- a/transport/budgeter/conn.go
+++ b/transport/budgeter/conn.go
@@ -349,21 +349,8 @@
 	return nil
 }
 
-// OnBeyond passes a call on to the connection, see package callerwatcher.
-func (c *Conn) OnBeyond(f func()) {
-	if b, ok := c.Conn.(interface{ OnBeyond(f func()) }); ok {
-		b.OnBeyond(f)
-	}
-}
-
-// bufferSetter is a connection with buffers of the system.
-type bufferSetter interface {
-	SetReadBuffer(bytes int) error
-	SetWriteBuffer(bytes int) error
-}
-
 func (c *Conn) setReceiveBuffer(size int) {
-	if t, ok := c.Conn.(bufferSetter); ok {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
 		_ = t.SetReadBuffer(size) // fails if it is closed
 	}
 }
--- a/transport/budgeter/server.go
+++ b/transport/budgeter/server.go
@@ -122,7 +122,7 @@
 			_ = n.Close() // nothing was sent
 			continue
 		}
-		if t, ok := n.(bufferSetter); ok {
+		if t, ok := n.(*net.TCPConn); ok {
 			_ = t.SetReadBuffer(receiveBuffer) // fails if the client has closed it
 			_ = t.SetWriteBuffer(sendBuffer)
 		}
--- a/transport/callerwatcher/callerwatcher.go
+++ b/transport/callerwatcher/callerwatcher.go
@@ -8,13 +8,15 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"radishspoke"
+	"radishspoke/transport/ticker"
 )
 
 // ErrLeft is the cause with which the context of a request ends if its caller has left.
 var ErrLeft = fmt.Errorf("caller has left: %w", context.Canceled)
 
-// interval is the time between two looks at the connection of a caller that has sent bytes beyond
-// its request.
+// interval is the time between two looks at the connections of requests in progress.
 const interval = 100 * time.Millisecond
 
 // Notice tells what has noticed that a caller left.
@@ -24,7 +26,7 @@
 const (
 	ByServer Notice = "server" // the HTTP server has read the end of the connection
 	ByCall   Notice = "call"   // a call was about to be made for the request
-	ByLook   Notice = "look"   // a periodic look at the connection, where the server does not look
+	ByLook   Notice = "look"   // a periodic look at the connection
 )
 
 // Recorder records the requests whose callers have left.
@@ -42,23 +44,27 @@
 }
 
 // Watcher looks at the connections of the callers of HTTP servers. Create it with New.
-type Watcher struct{ recorder Recorder }
+type Watcher struct {
+	recorder Recorder
+
+	mu       sync.Mutex
+	requests map[*request]struct{} // in progress
+}
 
 // New returns a Watcher without servers.
 func New(r Recorder) *Watcher {
-	return &Watcher{recorder: r}
+	return &Watcher{recorder: r, requests: map[*request]struct{}{}}
 }
 
 // request is a request in progress.
 type request struct {
 	server context.Context // of the HTTP server; it ends when the server has noticed that the caller left
 	conn   syscall.RawConn
+	began  time.Time
 	end    context.CancelCauseFunc
 	record Recorder
 
 	mu     sync.Mutex
-	looks  *time.Timer // nil if the server notices that the caller leaves, or the request has ended
-	ended  bool
 	left   time.Time // time at which it was noticed that the caller had left; zero before
 	notice Notice
 	late   time.Duration
@@ -69,10 +75,10 @@
 	requestKey struct{} // of the request in its context
 )
 
-// Watch makes the requests of a server known to the Watcher. It must be called before the server
-// serves the listener that it returns. Requests on connections that are not of TCP end as the server
-// decides.
-func (w *Watcher) Watch(s *http.Server, l net.Listener) net.Listener {
+// Watch makes a server's requests known to the Watcher. It must be called before the server
+// serves, and before its connections are wrapped by ones that are not of type syscall.Conn.
+// Requests on connections of other types end as the server decides.
+func (w *Watcher) Watch(s *http.Server) {
 	next := s.ConnContext
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if next != nil {
@@ -81,7 +87,6 @@
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	s.Handler = w.handler(s.Handler)
-	return &listener{l}
 }
 
 // handler returns a handler that calls next with a context that ends when the caller has left.
@@ -98,46 +103,32 @@
 			return
 		}
 		ctx, cancel := context.WithCancelCause(q.Context())
-		r := &request{server: q.Context(), conn: raw, end: cancel, record: w.recorder}
+		r := &request{server: q.Context(), conn: raw, began: time.Now(), end: cancel, record: w.recorder}
+		w.add(r)
 		stop := context.AfterFunc(q.Context(), func() { r.leave(ByServer) })
-		if b, ok := c.(interface{ OnBeyond(f func()) }); ok {
-			b.OnBeyond(r.look)
-			defer b.OnBeyond(nil)
-		}
 		defer func() {
 			stop()
-			r.finish()
+			w.remove(r)
 			cancel(nil)
 		}()
 		next.ServeHTTP(rw, q.WithContext(context.WithValue(ctx, requestKey{}, r)))
 	})
 }
 
-// finish ends the looks for a request, and records how long the work on it went on after its caller
-// had left.
-func (r *request) finish() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.ended = true
-	if r.looks != nil {
-		r.looks.Stop()
-	}
-	if !r.left.IsZero() {
-		r.record.ObserveAbandoned(time.Since(r.left))
-	}
+func (w *Watcher) add(r *request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.requests[r] = struct{}{}
 }
 
-// look looks at the connection of a request, and again after an interval, until the request ends
-// or its caller has left.
-func (r *request) look() {
-	if hasClosed(r.conn) {
-		r.leave(ByLook)
-		return
-	}
+func (w *Watcher) remove(r *request) {
+	w.mu.Lock()
+	delete(w.requests, r)
+	w.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.ended {
-		r.looks = time.AfterFunc(interval, r.look)
+	if !r.left.IsZero() {
+		w.recorder.ObserveAbandoned(time.Since(r.left))
 	}
 }
 
@@ -156,6 +147,30 @@
 	}
 }
 
+// Run looks at the connections of the requests in progress until ctx ends.
+func (w *Watcher) Run(ctx context.Context, t radishspoke.Timers) {
+	ticker.Each(ctx, t, interval, func() {
+		for _, r := range w.lasting() {
+			if hasClosed(r.conn) {
+				r.leave(ByLook)
+			}
+		}
+	})
+}
+
+// lasting returns the requests that have been in progress for an interval.
+func (w *Watcher) lasting() []*request {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*request
+	for r := range w.requests {
+		if time.Since(r.began) >= interval {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Check returns an error if ctx has ended, or if it belongs to a request whose caller has left; it
 // ends the context of that request. The error wraps ErrLeft if the caller has left, and the cause
 // otherwise. Check must be called before anything is sent for a request. A context without a request
--- a/transport/callerwatcher/callerwatcher_test.go
+++ b/transport/callerwatcher/callerwatcher_test.go
@@ -15,12 +15,13 @@
 	"radishspoke/internal/fake"
 	"radishspoke/state/recorder"
 	"radishspoke/transport/callerwatcher"
+	"radishspoke/transport/ticker"
 )
 
 const request = "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbody"
 
 var (
-	byRead = []callerwatcher.Notice{callerwatcher.ByServer}
+	byAny  = []callerwatcher.Notice{callerwatcher.ByServer, callerwatcher.ByLook}
 	byLook = []callerwatcher.Notice{callerwatcher.ByLook}
 	byCall = []callerwatcher.Notice{callerwatcher.ByCall}
 	none   = []callerwatcher.Notice{""}
@@ -33,12 +34,12 @@
 	for _, k := range []struct {
 		name, after string                   // bytes after the request
 		leave       func(*net.TCPConn) error // nil if the caller stays
-		late        bool                     // the server notices nothing before the call
+		late        bool                     // the server and the looks notice nothing before the call
 		notices     []callerwatcher.Notice
 	}{
-		{"close", "", (*net.TCPConn).Close, false, byRead},
-		{"reset", "", reset, false, byRead},
-		{"end of sending", "", (*net.TCPConn).CloseWrite, false, byRead},
+		{"close", "", (*net.TCPConn).Close, false, byAny},
+		{"reset", "", reset, false, byAny},
+		{"end of sending", "", (*net.TCPConn).CloseWrite, false, byAny},
 		{"close after one byte", "P", (*net.TCPConn).Close, false, byLook},
 		{"close after two bytes", "PO", (*net.TCPConn).Close, false, byLook},
 		{"close after another request", request, (*net.TCPConn).Close, false, byLook},
@@ -75,13 +76,14 @@
 				notices <- notice
 				panic(http.ErrAbortHandler)
 			}))
-			l := server.Listener
-			if k.late {
-				deaf := &fake.DeafListener{Listener: l}
-				deaf.Deaf.Store(true)
-				l = deaf
+			l := &fake.DeafListener{Listener: server.Listener}
+			l.Deaf.Store(k.late)
+			server.Listener = l
+			w := callerwatcher.New(recorder.New())
+			w.Watch(server.Config)
+			if !k.late {
+				go w.Run(c.Context(), ticker.New(ticker.BootClock{}))
 			}
-			server.Listener = callerwatcher.New(recorder.New()).Watch(server.Config, l)
 			server.Start()
 			defer server.Close()
 			conn, err := net.Dial("tcp", l.Addr().String())
--- a/transport/callerwatcher/example_test.go
+++ b/transport/callerwatcher/example_test.go
@@ -17,7 +17,7 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	}))
-	server.Listener = callerwatcher.New(recorder.New()).Watch(server.Config, server.Listener)
+	callerwatcher.New(recorder.New()).Watch(server.Config)
 	server.Start()
 	defer server.Close()
 	r, err := http.Get(server.URL)
