Wait until a process stands still before callers leave in the test

SIGSTOP is carried out by each thread when it next leaves the kernel, so that on a busy host a thread still read requests whose callers had not left yet. The test waits until all threads are stopped.

--- a/internal/flooder/leaver_test.go
+++ b/internal/flooder/leaver_test.go
@@ -1,9 +1,13 @@
 package flooder
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
@@ -52,7 +56,7 @@
 					together(func() { order(c.Context(), http.Header{}) })
 				}
 				time.Sleep(heldUpTime)
-				c.Assert(p.command.Process.Signal(syscall.SIGSTOP), qt.IsNil)
+				suspend(c, p)
 				switch {
 				case k.sidecar:
 					ctx, cancel := context.WithTimeout(c.Context(), heldUpTime)
@@ -80,6 +84,22 @@
 	}
 }
 
+// suspend stops a process and waits until all of its threads stand still, so that it can't have read
+// what is sent to it afterwards.
+func suspend(c *qt.C, p *Process) {
+	c.Assert(p.command.Process.Signal(syscall.SIGSTOP), qt.IsNil)
+	for running := true; running; time.Sleep(time.Millisecond) {
+		files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
+		c.Assert(err, qt.IsNil)
+		running = len(files) == 0
+		for _, f := range files {
+			data, err := os.ReadFile(f)
+			c.Assert(err, qt.IsNil)
+			running = running || !bytes.HasPrefix(data[bytes.LastIndexByte(data, ')')+1:], []byte(" T"))
+		}
+	}
+}
+
 // together calls f as often as there are leavers, at the same time, and waits.
 func together(f func()) {
 	var wg sync.WaitGroup
