--- a/review/player/caller.go
+++ b/review/player/caller.go
@@ -75,7 +75,7 @@
 	Left    bool // the caller gave up
 	Took    time.Duration
 	Failure string // why the answer ended before its end
-	Text    string // body of an answer that is not a success
+	Text    string // body
 }
 
 // Send sends a request on a new connection and returns the answer.
@@ -88,7 +88,7 @@
 	a := d.exchange(ctx, q, func() { patience.Reset(q.Patience) })
 	a.Took, a.Left = time.Since(began), !a.Whole && ctx.Err() != nil
 	d.Record.Printf("caller: request %s: status %d, %d events, stamp %q, whole %t, left %t, after %v %s %s",
-		q.ID, a.Status, a.Events, a.Stamp, a.Whole, a.Left, a.Took.Round(time.Millisecond), a.Failure, strings.TrimSpace(a.Text))
+		q.ID, a.Status, a.Events, a.Stamp, a.Whole, a.Left, a.Took.Round(time.Millisecond), a.Failure, failureText(a))
 	return a
 }
 
@@ -131,8 +131,14 @@
 		}
 	}
 	a.Events = bytes.Count(body, []byte("\n\n"))
-	if a.Status != http.StatusOK {
-		a.Text = string(body)
-	}
+	a.Text = string(body)
 	return a
 }
+
+// failureText returns the body of an answer that is not a success.
+func failureText(a Answer) string {
+	if a.Status == http.StatusOK {
+		return ""
+	}
+	return strings.TrimSpace(a.Text)
+}
--- a/review/player/engine.go
+++ b/review/player/engine.go
@@ -73,6 +73,8 @@
 	sequence int
 	arrivals []*Arrival
 	ended    bool
+
+	silentUntil time.Time
 }
 
 // beatInterval is the time between two writes of the row of an engine.
@@ -256,8 +258,12 @@
 	w.Header().Set(headerStamp, "stamp."+e.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w).Flush
-	for n := range e.settings.Events {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s of %s\n\n", n+1, a.ID, e.ID); err != nil {
+	for n := firstEvent(r); n <= e.settings.Events; n++ {
+		if !e.awaitSound(r) {
+			e.leave(a, false)
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s of %s\n\n", n, a.ID, e.ID); err != nil {
 			e.leave(a, false)
 			return
 		}
