--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the third review start, into target/.
+# Builds the stand-ins that the scripts of the third review start. It needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/ ./review/play3
+GOPROXY=off go build -tags review -o target/ ./review/play3
--- a/review/play3/leaving.go
+++ b/review/play3/leaving.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -14,14 +16,15 @@
 	entries   = 2
 	linkSpeed = 10 // of the entries, in 10⁶ bits per second
 
-	prefillEngines = 6
-	decodeEngines  = 2
-	readRate       = 406_000 // prompt tokens that an engine reads in a second
+	prefillEngines = 21
+	decodeEngines  = 11
+	leavers        = 4       // of the decode engines
+	readRate       = 150_000 // prompt tokens that an engine reads in a second
 
 	drainTime = 2 * time.Second        // DrainMs
-	extraTime = 400 * time.Millisecond // for which a draining engine serves beyond that
+	extraTime = 900 * time.Millisecond // for which a draining engine serves beyond that
 
-	usualRate  = 24                      // requests per second
+	usualRate  = 50                      // requests per second
 	hotRate    = 7.5 * usualRate         // while the tenant is hot
 	hotAt      = 6 * time.Second         // after the first request
 	drainAt    = 8000 * time.Millisecond // of the same
@@ -42,7 +45,7 @@
 		if n >= prefillEngines {
 			phase = "decode"
 		}
-		e, err := d.StartEngine(player.EngineSettings{Number: n, Phase: phase, Rate: readRate, Events: 10, Interval: 40 * time.Millisecond})
+		e, err := d.StartEngine(player.EngineSettings{Number: n, Phase: phase, Rate: readRate, Events: 20, Interval: 40 * time.Millisecond})
 		if err != nil {
 			return nil, err
 		}
@@ -76,7 +79,7 @@
 	for n := 0; time.Since(began) < trafficEnd; n++ {
 		group.Go(func() {
 			a := d.Send(player.Request{
-				ID: fmt.Sprintf("%016x", n+1), Entry: n % entries, Prompt: 39000 - 1950*(n%6), Output: 400, Body: 9200, Deadline: 15 * time.Second, Patience: 4 * time.Second,
+				ID: fmt.Sprintf("%016x", n+1), Entry: n % entries, Prompt: 3000 + n*7919%36000, Output: 400, Body: 9200, Deadline: 15 * time.Second, Patience: 4 * time.Second,
 			})
 			mu.Lock()
 			defer mu.Unlock()
@@ -92,35 +95,42 @@
 	return out
 }
 
-// leaving has an engine that generates answers leave, while requests to it wait at the sidecars
-// of other engines for their prompts to be read.
+// leaving has engines that generate answers leave, while requests to them wait at the sidecars of
+// other engines for their prompts to be read.
 func leaving(d *player.Deployment, trouble bool) (bool, error) {
 	engines, err := fleet(d)
 	if err != nil {
 		return false, err
 	}
-	leaver := engines[len(engines)-1]
-	acknowledged := time.Duration(0)
+	gone := engines[len(engines)-leavers:]
+	acknowledged := make([]time.Duration, leavers)
 	left := make(chan struct{})
 	go func() {
 		defer close(left)
 		time.Sleep(drainAt)
-		acknowledged = d.Record.Now()
-		if trouble {
-			leaver.Drain()
-			time.Sleep(drainTime + extraTime)
-			leaver.Exit()
+		if !trouble {
+			return
+		}
+		for n, e := range gone {
+			e.Drain()
+			acknowledged[n] = d.Record.Now()
+		}
+		time.Sleep(drainTime + extraTime)
+		for _, e := range gone {
+			e.Exit()
 		}
 	}()
 	answers := traffic(d)
 	<-left
 	late, cut, latest := 0, 0, time.Duration(0)
-	for _, a := range leaver.Arrivals() {
-		if after := a.At - acknowledged; trouble && after > drainTime {
-			late++
-			latest = max(latest, after)
-			if a.Cut {
-				cut++
+	for n, e := range gone {
+		for _, a := range e.Arrivals() {
+			if after := a.At - acknowledged[n]; trouble && after > drainTime {
+				late++
+				latest = max(latest, after)
+				if a.Cut {
+					cut++
+				}
 			}
 		}
 	}
@@ -134,7 +144,7 @@
 		}
 	}
 	d.Record.Printf("result: %d of %d requests served, %d streams broken off", served, len(answers), broken)
-	d.Record.Printf("result: %d requests reached the leaving engine later than %v after the ack, the last %v after it; it ended while it worked on %d of these",
+	d.Record.Printf("result: %d requests reached a leaving engine later than %v after the ack, the last %v after it; the engines ended while they worked on %d of these",
 		late, drainTime, latest.Round(time.Millisecond), cut)
 	if served < len(answers)/2 {
 		return false, fmt.Errorf("only %d of %d requests were served", served, len(answers))
--- a/review/play3/main.go
+++ b/review/play3/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command play3 plays the scripted cases of the third review. It exits with 0 if the rule of the
 // case held, with 1 if it was broken, and with 2 if the case could not run. With the variable
 // TROUBLE set to 0, it plays the same without the disruption.
--- a/review/player/deployment.go
+++ b/review/player/deployment.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package player
 
 import (
--- a/review/player/engine.go
+++ b/review/player/engine.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package player
 
 import (
@@ -20,6 +22,7 @@
 	headerStage    = "Radishspoke-Serving-Stage"
 	headerSource   = "Radishspoke-Kv-Source"
 	headerStamp    = "Radishspoke-Server-Stamp"
+	headerLeaving  = "Server-Leaving"
 	headerKey      = "Radishspoke-Key"
 	headerDeadline = "Radishspoke-Deadline-Ms"
 	headerTokens   = "Radishspoke-Token-Count"
@@ -164,6 +167,10 @@
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(headerID, r.Header.Get(headerID))
+	if e.leaving() {
+		w.Header().Set(headerLeaving, "1")
+		w.Header().Set("Connection", "close")
+	}
 	if id := r.Header.Get(headerInstance); id != "" && id != e.ID {
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -188,6 +195,13 @@
 	}
 }
 
+// leaving reports whether the engine has reported that it leaves.
+func (e *Engine) leaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state != "ready"
+}
+
 // arrive records a request.
 func (e *Engine) arrive(kind string, r *http.Request) *Arrival {
 	a := &Arrival{At: e.deployment.Record.Now(), Kind: kind, ID: r.Header.Get(headerID)}
