--- a/review/play3/leaving.go
+++ b/review/play3/leaving.go
@@ -24,12 +24,12 @@
 	drainTime = 2 * time.Second        // DrainMs
 	extraTime = 900 * time.Millisecond // for which a draining engine serves beyond that
 
-	usualRate  = 50                      // requests per second
-	hotRate    = 7.5 * usualRate         // while the tenant is hot
-	hotAt      = 6 * time.Second         // after the first request
-	drainAt    = 8000 * time.Millisecond // of the same
-	hotEnd     = 8 * time.Second         // of the same
-	trafficEnd = 12 * time.Second        // of the same
+	usualRate  = 50               // requests per second
+	hotRate    = 7.5 * usualRate  // while the tenant is hot
+	hotAt      = 6 * time.Second  // after the first request
+	drainAt    = 8 * time.Second  // of the same
+	hotEnd     = 8 * time.Second  // of the same
+	trafficEnd = 12 * time.Second // of the same
 	readyLimit = 20 * time.Second
 )
 
--- a/review/player/deployment.go
+++ b/review/player/deployment.go
@@ -179,14 +179,6 @@
 	return p, nil
 }
 
-// Signal sends a signal to the process.
-func (p *Process) Signal(s os.Signal) error {
-	if err := p.command.Process.Signal(s); err != nil {
-		return fmt.Errorf("signal %s: %w", p.Name, err)
-	}
-	return nil
-}
-
 // AwaitReady waits until entry n is ready.
 func (d *Deployment) AwaitReady(ctx context.Context, n int) error {
 	for {
--- a/review/player/engine.go
+++ b/review/player/engine.go
@@ -76,8 +76,6 @@
 	sequence int
 	arrivals []*Arrival
 	ended    bool
-
-	silentUntil time.Time
 }
 
 // beatInterval is the time between two writes of the row of an engine.
@@ -273,10 +271,6 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w).Flush
 	for n := firstEvent(r); n <= e.settings.Events; n++ {
-		if !e.awaitSound(r) {
-			e.leave(a, false)
-			return
-		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s of %s\n\n", n, a.ID, e.ID); err != nil {
 			e.leave(a, false)
 			return
@@ -292,6 +286,15 @@
 	e.leave(a, true)
 }
 
+// firstEvent returns the number of the first event that a request asks for.
+func firstEvent(r *http.Request) int {
+	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 1
+	}
+	return last + 1
+}
+
 // writeJSON answers with a JSON body.
 func writeJSON(w http.ResponseWriter, v any) {
 	data, err := json.Marshal(v)
