--- a/review/play3/main.go
+++ b/review/play3/main.go
@@ -8,7 +8,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 
 	"radishspoke/review/player"
 )
@@ -16,6 +19,9 @@
 // program is the program that the build of the deploy file makes.
 const program = "target/radishspoked"
 
+// maxTime bounds the time of a case, less than the 120 s that a script may take.
+const maxTime = 100 * time.Second
+
 // Exit codes.
 const (
 	held    = 0
@@ -70,5 +76,18 @@
 			err = e
 		}
 	}()
+	go endEarly(d)
 	return p(d, os.Getenv("TROUBLE") != "0")
 }
+
+// endEarly ends the processes of a deployment and this one on a signal, or after maxTime.
+func endEarly(d *player.Deployment) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(maxTime):
+	}
+	fmt.Fprintln(os.Stderr, "the case could not run: ended early:", d.Close())
+	os.Exit(invalid)
+}
--- a/review/player/deployment.go
+++ b/review/player/deployment.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 
@@ -26,9 +27,15 @@
 	readyPort    = 21
 	enginePort   = 22
 	storePort    = 23
-	metricsPort  = 24
+	lastPort     = storePort
 )
 
+// metricsPort is the port of the commands in the deploy file. Each host has an address of its own.
+const metricsPort = 9464
+
+// maxTries bounds the further tries to find free ports.
+const maxTries = 10
+
 // Host numbers, the last byte of the address of a host.
 const (
 	storeHost   = 250
@@ -73,9 +80,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("find program: %w", err)
 	}
-	d := &Deployment{
-		Record: r, Store: fake.NewRowStore(), folder: folder, program: program,
-		network: fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), rand.IntN(250)), firstPort: 21000 + 50*rand.IntN(200),
+	d := &Deployment{Record: r, Store: fake.NewRowStore(), folder: folder, program: program}
+	for tries := 0; ; tries++ {
+		d.network, d.firstPort = fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), rand.IntN(250)), 21000+50*rand.IntN(200)
+		if err = d.checkPorts(); err == nil {
+			break
+		}
+		if tries == maxTries {
+			return nil, err
+		}
 	}
 	if err := d.Serve(d.address(storeHost, storePort), d.Store); err != nil {
 		return nil, err
@@ -83,6 +96,24 @@
 	return d, nil
 }
 
+// checkPorts returns an error if a port of the deployment is not free at the address of the store,
+// as if a process listens there at all addresses.
+func (d *Deployment) checkPorts() error {
+	for port := range lastPort + 1 {
+		l, err := net.Listen("tcp", d.address(storeHost, port))
+		if err != nil {
+			return fmt.Errorf("find free ports: %w", err)
+		}
+		_ = l.Close() // nothing was accepted
+		c, err := net.ListenPacket("udp", d.address(storeHost, port))
+		if err != nil {
+			return fmt.Errorf("find free ports: %w", err)
+		}
+		_ = c.Close() // nothing was received
+	}
+	return nil
+}
+
 // address returns the address of a port of a host.
 func (d *Deployment) address(host, port int) string {
 	return fmt.Sprintf("%s%d:%d", d.network, host, d.firstPort+port)
@@ -162,7 +193,7 @@
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
 	p := &Process{Name: name, done: make(chan struct{})}
-	p.command = exec.Command(d.program, role, "--metrics-port", fmt.Sprint(d.firstPort+metricsPort))
+	p.command = exec.Command(d.program, role, "--metrics-port", strconv.Itoa(metricsPort))
 	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "RADISHSPOKE_BOOT=" + path}
 	p.command.Stdout, p.command.Stderr = log, log
 	if err := p.command.Start(); err != nil {
